--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -18,7 +18,7 @@
 #include "bench/support/results.hpp"
 #include "bench/support/virtual_fleet.hpp"
 #include "currantspar/base/hash.hpp"
-#include "currantspar/platform/peer_codec.hpp"
+#include "currantspar/io/peer_codec.hpp"
 
 namespace {
 
@@ -58,7 +58,7 @@
 double encoded_bytes(const core::send_peer& message)
 {
     capnp::MallocMessageBuilder builder;
-    platform::write_message(builder.initRoot<platform::wire::Message>(), message.to, incarnation(1), message);
+    io::write_message(builder.initRoot<io::wire::Message>(), message.to, incarnation(1), message);
     return static_cast<double>(capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word));
 }
 
--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -15,7 +15,7 @@
 
 #include "currantspar/base/hash.hpp"
 #include "currantspar/node/runtime.hpp"
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 #include "currantspar/standin/http_platform.hpp"
 #include "support/results.hpp"
 #include "support/stamping_engine.hpp"
@@ -124,7 +124,7 @@
         settings.data_centre = data_centre_id("dc-a");
         settings.caller_address = "127.0.0.1:" + caller_port;
         settings.admin_address = "127.0.0.1:" + admin_port;
-        settings.peer_address = "127.0.0.1:" + std::to_string(platform::free_port());
+        settings.peer_address = "127.0.0.1:" + std::to_string(io::free_port());
         settings.log_level = "warning";
         settings.max_connections = 16384;
         settings.balancer_drain = std::chrono::milliseconds(0);
@@ -135,8 +135,8 @@
 
     pid_t pid_ = -1;
     int pipe_ = -1;
-    std::uint16_t caller_port_ = platform::free_port();
-    std::uint16_t admin_port_ = platform::free_port();
+    std::uint16_t caller_port_ = io::free_port();
+    std::uint16_t admin_port_ = io::free_port();
 };
 
 std::string fleet_text(const bench::stamping_engine& engines)
@@ -162,7 +162,7 @@
 
 std::string exchange(std::uint16_t port, const std::string& head, const std::string& body)
 {
-    platform::raw_caller caller(port);
+    io::raw_caller caller(port);
     caller.write(head + "Host: bench\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
                  "\r\n\r\n" + body);
     return caller.read_all();
@@ -182,7 +182,7 @@
 bool wait_ready(const node_process& node)
 {
     for (int tries = 0; tries < 500; ++tries) {
-        if (platform::status_of(exchange(node.admin_port(), "GET /readyz HTTP/1.1\r\n", "")) == 200) {
+        if (io::status_of(exchange(node.admin_port(), "GET /readyz HTTP/1.1\r\n", "")) == 200) {
             return true;
         }
         usleep(20000);
--- a/bench/support/health_balancer.cpp
+++ b/bench/support/health_balancer.cpp
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 #include "currantspar/standin/http_platform.hpp"
 
 namespace currantspar::bench {
@@ -15,9 +15,9 @@
 
 bool answers_ready(std::uint16_t admin_port)
 {
-    platform::raw_caller caller(admin_port);
+    io::raw_caller caller(admin_port);
     caller.write("GET /readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n");
-    return platform::status_of(caller.read_all(check_limit)) == status_ok;
+    return io::status_of(caller.read_all(check_limit)) == status_ok;
 }
 
 } // namespace
--- a/bench/support/loopback_fleet.cpp
+++ b/bench/support/loopback_fleet.cpp
@@ -8,7 +8,7 @@
 
 #include "currantspar/agreement/record.hpp"
 #include "currantspar/base/hash.hpp"
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 
 namespace currantspar::bench {
 
@@ -68,9 +68,9 @@
 loopback_fleet::node loopback_fleet::make_node()
 {
     node made;
-    made.caller_port = platform::free_port();
-    made.admin_port = platform::free_port();
-    made.name = loopback(platform::free_port());
+    made.caller_port = io::free_port();
+    made.admin_port = io::free_port();
+    made.name = loopback(io::free_port());
     made.settings_file = directory_ + "/node-" + std::to_string(++started_) + ".json";
     const nlohmann::json settings = {
         {"data_centre", data_centre},
@@ -141,7 +141,7 @@
     record.text = text();
     const std::string body = nlohmann::json{{"records", {agreement::encode_record(record)}}}.dump();
     const std::string& address = log_.address();
-    platform::raw_caller caller(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    io::raw_caller caller(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
     caller.write("POST /log/append HTTP/1.1\r\nHost: log\r\nConnection: close\r\nContent-Length: " +
                  std::to_string(body.size()) + "\r\n\r\n" + body);
     caller.read_all();
--- a/fuzz/fuzz_peer.cpp
+++ b/fuzz/fuzz_peer.cpp
@@ -9,7 +9,7 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
-#include "currantspar/platform/peer_codec.hpp"
+#include "currantspar/io/peer_codec.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
@@ -18,7 +18,7 @@
     std::memcpy(words.data(), data, words.size() * sizeof(capnp::word));
     auto refused = kj::runCatchingExceptions([&]() {
         capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
-        const auto received = platform::read_message(reader.getRoot<platform::wire::Message>());
+        const auto received = io::read_message(reader.getRoot<io::wire::Message>());
         if (received) {
             static_cast<void>(
                 nlohmann::json(*received).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- /dev/null
+++ b/include/currantspar/gateway/gateway.hpp
@@ -0,0 +1,14 @@
+#ifndef CURRANTSPAR_GATEWAY_GATEWAY_HPP
+#define CURRANTSPAR_GATEWAY_GATEWAY_HPP
+
+#include "currantspar/gateway/wire_protocol.hpp"
+
+namespace currantspar::gateway {
+
+/// Runs one node between callers and backend servers until SIGTERM, in the calling thread, and returns the exit
+/// code of the process. SIGHUP reads the settings again. Precondition: no other gateway runs in this process.
+[[nodiscard]] int run_gateway(const wire_protocol& wire);
+
+} // namespace currantspar::gateway
+
+#endif
--- /dev/null
+++ b/include/currantspar/gateway/http_message.hpp
@@ -0,0 +1,54 @@
+#ifndef CURRANTSPAR_GATEWAY_HTTP_MESSAGE_HPP
+#define CURRANTSPAR_GATEWAY_HTTP_MESSAGE_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantspar::gateway {
+
+struct http_field
+{
+    std::string name;
+    std::string value;
+};
+
+/// Header fields in their order on the wire.
+using http_fields = std::vector<http_field>;
+
+/// The first field of that name, whatever its case; null when there is none. Thread safe.
+[[nodiscard]] const std::string* find_field(const http_fields& fields, std::string_view name);
+/// Compares header names, which don't depend on case. Thread safe.
+[[nodiscard]] bool same_name(std::string_view left, std::string_view right);
+/// True when a field of that name has `token` in its comma-separated list. Thread safe.
+[[nodiscard]] bool has_token(const http_fields& fields, std::string_view name, std::string_view token);
+/// True for fields that concern one connection only, and for those that frame the body. Thread safe.
+[[nodiscard]] bool is_connection_field(std::string_view name);
+
+struct http_request
+{
+    std::string method;
+    std::string target;
+    http_fields fields;
+    std::string body;
+};
+
+struct http_answer
+{
+    int status = 0;
+    http_fields fields;
+    std::string body;
+};
+
+/// The bytes of a request, framed by its length. Fields of `fields` that frame it are left out. Thread safe.
+[[nodiscard]] std::string write_request(const http_request& request);
+/// The head of an answer with the fields given, the standard reason phrase and the empty line. Thread safe.
+[[nodiscard]] std::string write_answer_head(int status, const http_fields& fields);
+/// One chunk of a chunked body. Precondition: `bytes` isn't empty. Thread safe.
+[[nodiscard]] std::string write_chunk(std::string_view bytes);
+
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+} // namespace currantspar::gateway
+
+#endif
--- /dev/null
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -0,0 +1,87 @@
+#ifndef CURRANTSPAR_GATEWAY_SERVER_CONNECTION_HPP
+#define CURRANTSPAR_GATEWAY_SERVER_CONNECTION_HPP
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "currantspar/gateway/message_reader.hpp"
+#include "currantspar/gateway/tcp_connection.hpp"
+
+namespace currantspar::gateway {
+
+/// Receives what becomes of one request that was sent to a server. After answer_complete or request_failed no
+/// more calls follow.
+class exchange_sink
+{
+public:
+    exchange_sink() = default;
+    exchange_sink(const exchange_sink&) = delete;
+    exchange_sink& operator=(const exchange_sink&) = delete;
+    virtual ~exchange_sink() = default;
+
+    /// The first byte of the request was written.
+    virtual void request_written() {}
+    /// The head of an answer arrived. False: it belongs to another request; it is skipped and the next one read.
+    virtual bool answer_head(int status, const http_fields& fields) = 0;
+    virtual void answer_body(std::string_view bytes) = 0;
+    virtual void answer_complete() = 0;
+    /// No whole answer will come. `written` false: no byte of the request left this process.
+    virtual void request_failed(bool written, const std::string& detail) = 0;
+};
+
+/// Lets one exchange be given up. Not thread safe.
+using exchange_id = std::uint64_t;
+
+struct server_pool_options
+{
+    duration connect_timeout = std::chrono::milliseconds(400);
+    duration idle_most = std::chrono::seconds(4); ///< for servers that don't say how long they keep a connection
+    duration idle_margin = std::chrono::milliseconds(1200); ///< taken off what a server says
+    std::size_t idle_connections_most = 16; ///< kept to one server
+    reader_limits answers{65536, 16777216};
+};
+
+/// Connections to servers, kept open for the next request. One request at a time goes over a connection, and a
+/// connection on which a request was given up or an answer was spoilt is closed. Not thread safe.
+class server_pool
+{
+public:
+    server_pool(ACE_Reactor& reactor, server_pool_options options);
+    ~server_pool();
+
+    /// Sends a request to `IP:port`. `sink` must live until it was told the end or the exchange was cancelled;
+    /// it isn't called from within start().
+    exchange_id start(const std::string& address, std::string request, exchange_sink& sink, instant now);
+    /// Closes the connection of an exchange; its sink isn't called again.
+    void cancel(exchange_id exchange);
+    /// Ends overdue connects and idle connections, and frees what was closed.
+    void on_tick(instant now);
+    /// New connections since the start.
+    [[nodiscard]] std::uint64_t connects() const { return connects_; }
+    [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
+
+private:
+    class connection;
+    friend class connection;
+
+    void release(connection& idle);
+    void drop(connection& closed);
+
+    ACE_Reactor& reactor_;
+    server_pool_options options_;
+    std::map<exchange_id, connection*> busy_;
+    std::map<std::string, std::vector<connection*>> idle_; ///< the newest at the back
+    std::map<connection*, std::unique_ptr<connection>> connections_;
+    std::vector<std::unique_ptr<connection>> closed_; ///< freed in the next tick
+    instant now_{};
+    exchange_id last_exchange_ = 0;
+    std::uint64_t connects_ = 0;
+};
+
+} // namespace currantspar::gateway
+
+#endif
--- /dev/null
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -0,0 +1,80 @@
+#ifndef CURRANTSPAR_GATEWAY_STORE_WATCH_HPP
+#define CURRANTSPAR_GATEWAY_STORE_WATCH_HPP
+
+#include <functional>
+#include <string>
+
+#include "currantspar/gateway/server_connection.hpp"
+#include "currantspar/gateway/wire_protocol.hpp"
+
+namespace currantspar::gateway {
+
+struct store_watch_options
+{
+    duration period{};          ///< between two reads; 0: the next read begins at once
+    duration wait{};            ///< how long the store may hold a read until records arrive
+    duration answer_timeout = std::chrono::milliseconds(1500); ///< beyond `wait`
+    duration retry_first = std::chrono::milliseconds(150);
+    duration retry_most = std::chrono::milliseconds(1000);
+};
+
+/// What a watch tells of its topic.
+struct store_watch_handlers
+{
+    /// All newest records, in place of what was told before.
+    std::function<void(const std::vector<keyed_record>&, instant)> listed;
+    /// Records that came since, in their order.
+    std::function<void(const std::vector<keyed_record>&, instant)> changed;
+    std::function<void(const std::string& reason, instant)> lost; ///< reads fail
+    std::function<void(instant)> back;                            ///< reads work again
+};
+
+/// Follows one topic of the shared store: lists its newest records, then reads on from there, and lists again when
+/// the store has dropped what comes next. Not thread safe.
+class store_watch : private exchange_sink
+{
+public:
+    store_watch(server_pool& pool, const wire_protocol& wire, std::string store, shared_topic topic,
+                store_watch_options options, store_watch_handlers handlers);
+    ~store_watch() override;
+
+    /// Begins a read that is due, and gives one up that is overdue.
+    void on_tick(instant now);
+    /// False while reads fail, and before the first one.
+    [[nodiscard]] bool in_touch() const { return in_touch_; }
+
+private:
+    bool answer_head(int status, const http_fields& fields) override;
+    void answer_body(std::string_view bytes) override;
+    void answer_complete() override;
+    void request_failed(bool written, const std::string& detail) override;
+
+    void begin(instant now);
+    void take_newest(instant now);
+    void take_records(instant now);
+    void succeeded(instant now);
+    void failed(const std::string& reason, instant now);
+
+    server_pool& pool_;
+    const wire_protocol& wire_;
+    std::string store_;
+    shared_topic topic_;
+    store_watch_options options_;
+    store_watch_handlers handlers_;
+
+    bool listing_ = true;
+    std::string after_key_;
+    std::vector<keyed_record> pages_;
+    std::uint64_t next_ = 0;
+    http_answer answer_;
+    exchange_id exchange_ = 0;
+    instant due_{};
+    instant begun_{};
+    bool in_touch_ = false;
+    bool ever_in_touch_ = false;
+    unsigned failures_ = 0;
+};
+
+} // namespace currantspar::gateway
+
+#endif
--- a/include/currantspar/platform/address.hpp
+++ b/include/currantspar/io/address.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_ADDRESS_HPP
-#define CURRANTSPAR_PLATFORM_ADDRESS_HPP
+#ifndef CURRANTSPAR_IO_ADDRESS_HPP
+#define CURRANTSPAR_IO_ADDRESS_HPP
 
 #include <cstdint>
 #include <string>
@@ -8,7 +8,7 @@
 
 #include "currantspar/base/result.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// An IPv4 address and a TCP port.
 struct socket_address
@@ -23,6 +23,6 @@
 /// The address in the form that sockets take. Precondition: `address` came from parse_address. Thread safe.
 [[nodiscard]] sockaddr_in to_sockaddr(const socket_address& address);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/admin_server.hpp
+++ b/include/currantspar/io/admin_server.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_ADMIN_SERVER_HPP
-#define CURRANTSPAR_PLATFORM_ADMIN_SERVER_HPP
+#ifndef CURRANTSPAR_IO_ADMIN_SERVER_HPP
+#define CURRANTSPAR_IO_ADMIN_SERVER_HPP
 
 #include <functional>
 #include <map>
@@ -8,7 +8,7 @@
 
 #include "currantspar/base/result.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// What a page is asked for.
 struct admin_query
@@ -48,6 +48,6 @@
     std::unique_ptr<server> server_;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/answer_pipe.hpp
+++ b/include/currantspar/io/answer_pipe.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_ANSWER_PIPE_HPP
-#define CURRANTSPAR_PLATFORM_ANSWER_PIPE_HPP
+#ifndef CURRANTSPAR_IO_ANSWER_PIPE_HPP
+#define CURRANTSPAR_IO_ANSWER_PIPE_HPP
 
 #include <cstddef>
 #include <functional>
@@ -7,9 +7,9 @@
 #include <string>
 #include <string_view>
 
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// Carries one plain answer from a backend server's connection to a caller's, with bounded memory. Thread
 /// safe; the callbacks are called without its lock.
@@ -51,6 +51,6 @@
     std::function<void()> on_data_;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/caller_front.hpp
+++ b/include/currantspar/io/caller_front.hpp
@@ -1,17 +1,17 @@
-#ifndef CURRANTSPAR_PLATFORM_CALLER_FRONT_HPP
-#define CURRANTSPAR_PLATFORM_CALLER_FRONT_HPP
+#ifndef CURRANTSPAR_IO_CALLER_FRONT_HPP
+#define CURRANTSPAR_IO_CALLER_FRONT_HPP
 
 #include <memory>
 #include <string>
 
 #include "currantspar/base/result.hpp"
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/answer_pipe.hpp"
-#include "currantspar/platform/engine_streams.hpp"
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/service_client.hpp"
+#include "currantspar/io/answer_pipe.hpp"
+#include "currantspar/io/engine_streams.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/service_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// What callers connect to. A request comes out as one of generate_arrived, stream_resumed or call_arrived,
 /// and caller_gone when its connection ended before its answer. Its body stays here until the request ends.
@@ -61,6 +61,6 @@
 [[nodiscard]] result<std::unique_ptr<caller_front>> make_http_caller_front(caller_front_options options,
                                                                            event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/clock.hpp
+++ b/include/currantspar/io/clock.hpp
@@ -1,9 +1,9 @@
-#ifndef CURRANTSPAR_PLATFORM_CLOCK_HPP
-#define CURRANTSPAR_PLATFORM_CLOCK_HPP
+#ifndef CURRANTSPAR_IO_CLOCK_HPP
+#define CURRANTSPAR_IO_CLOCK_HPP
 
 #include "currantspar/base/time.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// This process's monotonic time. Thread safe.
 [[nodiscard]] instant monotonic_now();
@@ -11,6 +11,6 @@
 /// The wall clock, for people only. Thread safe.
 [[nodiscard]] wall_time wall_now();
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/engine_control.hpp
+++ b/include/currantspar/io/engine_control.hpp
@@ -1,13 +1,13 @@
-#ifndef CURRANTSPAR_PLATFORM_ENGINE_CONTROL_HPP
-#define CURRANTSPAR_PLATFORM_ENGINE_CONTROL_HPP
+#ifndef CURRANTSPAR_IO_ENGINE_CONTROL_HPP
+#define CURRANTSPAR_IO_ENGINE_CONTROL_HPP
 
 #include <memory>
 
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// Reports, state and orders of model engines. Answers come as events.
 class engine_control
@@ -37,6 +37,6 @@
 [[nodiscard]] std::unique_ptr<engine_control>
 make_http_engine_control(http_client& client, engine_control_options options, event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/engine_streams.hpp
+++ b/include/currantspar/io/engine_streams.hpp
@@ -1,14 +1,14 @@
-#ifndef CURRANTSPAR_PLATFORM_ENGINE_STREAMS_HPP
-#define CURRANTSPAR_PLATFORM_ENGINE_STREAMS_HPP
+#ifndef CURRANTSPAR_IO_ENGINE_STREAMS_HPP
+#define CURRANTSPAR_IO_ENGINE_STREAMS_HPP
 
 #include <memory>
 #include <string>
 
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// What a caller asked a model service for.
 struct prompt_body
@@ -40,6 +40,6 @@
 /// Engine streams over HTTP with server-sent events. Precondition: `client` outlives it.
 [[nodiscard]] std::unique_ptr<engine_streams> make_http_engine_streams(http_client& client, event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/http_client.hpp
+++ b/include/currantspar/io/http_client.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_HTTP_CLIENT_HPP
-#define CURRANTSPAR_PLATFORM_HTTP_CLIENT_HPP
+#ifndef CURRANTSPAR_IO_HTTP_CLIENT_HPP
+#define CURRANTSPAR_IO_HTTP_CLIENT_HPP
 
 #include <cstdint>
 #include <memory>
@@ -10,7 +10,7 @@
 
 #include "currantspar/base/time.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 struct http_header
 {
@@ -110,6 +110,6 @@
     std::unique_ptr<loop> loop_;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/log.hpp
+++ b/include/currantspar/io/log.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_LOG_HPP
-#define CURRANTSPAR_PLATFORM_LOG_HPP
+#ifndef CURRANTSPAR_IO_LOG_HPP
+#define CURRANTSPAR_IO_LOG_HPP
 
 #include <string>
 #include <string_view>
@@ -7,7 +7,7 @@
 
 #include "currantspar/config/settings.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 enum class log_level
 {
@@ -17,6 +17,13 @@
     error,
 };
 
+/// Where the lines go. Commands that print an answer keep standard output for it.
+enum class log_target
+{
+    standard_error,
+    standard_output,
+};
+
 /// One figure or name of a log line. Request bodies and API keys are never logged.
 struct log_field
 {
@@ -25,13 +32,15 @@
 };
 
 /// Sets the lowest level that is written (`debug`, `info`, `warning`, `error`) and the format of the lines,
-/// for the whole process. Thread safe.
-void configure_log(const std::string& level, config::log_format format);
+/// for the whole process, and where the lines go. A target that isn't read as fast as lines come loses lines
+/// rather than hold the process up. Thread safe.
+void configure_log(const std::string& level, config::log_format format,
+                   log_target target = log_target::standard_error);
 
-/// Writes one line about an event to standard error. An event that repeats more than a few times a second is
+/// Writes one line about an event to the log's target. An event that repeats more than a few times a second is
 /// counted instead and the count is written with its next line. Thread safe.
 void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields = {});
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/log_client.hpp
+++ b/include/currantspar/io/log_client.hpp
@@ -1,14 +1,14 @@
-#ifndef CURRANTSPAR_PLATFORM_LOG_CLIENT_HPP
-#define CURRANTSPAR_PLATFORM_LOG_CLIENT_HPP
+#ifndef CURRANTSPAR_IO_LOG_CLIENT_HPP
+#define CURRANTSPAR_IO_LOG_CLIENT_HPP
 
 #include <memory>
 #include <vector>
 
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// The platform's append-only log. Answers come as events.
 class log_client
@@ -36,6 +36,6 @@
 [[nodiscard]] std::unique_ptr<log_client> make_http_log_client(http_client& client,
                                                                log_client_options options, event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/peer_network.hpp
+++ b/include/currantspar/io/peer_network.hpp
@@ -1,14 +1,14 @@
-#ifndef CURRANTSPAR_PLATFORM_PEER_NETWORK_HPP
-#define CURRANTSPAR_PLATFORM_PEER_NETWORK_HPP
+#ifndef CURRANTSPAR_IO_PEER_NETWORK_HPP
+#define CURRANTSPAR_IO_PEER_NETWORK_HPP
 
 #include <memory>
 #include <string>
 
 #include "currantspar/base/result.hpp"
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/event_sink.hpp"
+#include "currantspar/io/event_sink.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// Messages between the nodes. What arrives comes as peer_received; a message that can't be delivered comes
 /// back as peer_unreachable.
@@ -38,6 +38,6 @@
 [[nodiscard]] result<std::unique_ptr<peer_network>> make_capnp_peer_network(peer_network_options options,
                                                                             event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/service_client.hpp
+++ b/include/currantspar/io/service_client.hpp
@@ -1,15 +1,15 @@
-#ifndef CURRANTSPAR_PLATFORM_SERVICE_CLIENT_HPP
-#define CURRANTSPAR_PLATFORM_SERVICE_CLIENT_HPP
+#ifndef CURRANTSPAR_IO_SERVICE_CLIENT_HPP
+#define CURRANTSPAR_IO_SERVICE_CLIENT_HPP
 
 #include <memory>
 #include <string>
 
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/answer_pipe.hpp"
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/answer_pipe.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// A caller's request to a plain service, as it is passed on.
 struct call_body
@@ -51,6 +51,6 @@
 [[nodiscard]] std::unique_ptr<service_client>
 make_http_service_client(http_client& client, service_client_options options, event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/timer_service.hpp
+++ b/include/currantspar/io/timer_service.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_TIMER_SERVICE_HPP
-#define CURRANTSPAR_PLATFORM_TIMER_SERVICE_HPP
+#ifndef CURRANTSPAR_IO_TIMER_SERVICE_HPP
+#define CURRANTSPAR_IO_TIMER_SERVICE_HPP
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 
 class ACE_Reactor;
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 using timer_id = std::uint64_t;
 
@@ -31,6 +31,6 @@
 /// Timers of an ACE reactor. Precondition: `reactor` outlives it.
 [[nodiscard]] std::unique_ptr<timer_service> make_reactor_timer_service(ACE_Reactor& reactor);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/platform/vm_list_client.hpp
+++ b/include/currantspar/io/vm_list_client.hpp
@@ -1,13 +1,13 @@
-#ifndef CURRANTSPAR_PLATFORM_VM_LIST_CLIENT_HPP
-#define CURRANTSPAR_PLATFORM_VM_LIST_CLIENT_HPP
+#ifndef CURRANTSPAR_IO_VM_LIST_CLIENT_HPP
+#define CURRANTSPAR_IO_VM_LIST_CLIENT_HPP
 
 #include <memory>
 #include <string>
 
-#include "currantspar/platform/event_sink.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/event_sink.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// The platform's list of VMs. Answers come as events.
 class vm_list_client
@@ -32,6 +32,6 @@
 [[nodiscard]] std::unique_ptr<vm_list_client>
 make_http_vm_list_client(http_client& client, vm_list_client_options options, event_sink sink);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/include/currantspar/node/operations.hpp
+++ b/include/currantspar/node/operations.hpp
@@ -9,7 +9,7 @@
 #include "currantspar/node/metrics.hpp"
 #include "currantspar/node/status.hpp"
 #include "currantspar/node/timeline_store.hpp"
-#include "currantspar/platform/admin_server.hpp"
+#include "currantspar/io/admin_server.hpp"
 
 namespace currantspar::node {
 
@@ -34,15 +34,15 @@
 
     /// The pages by their paths. A page waits for the node's loop at most `status_wait`, so it must not be
     /// asked on that loop. Thread safe; the pages refer to this object.
-    [[nodiscard]] std::map<std::string, platform::admin_page> pages();
+    [[nodiscard]] std::map<std::string, io::admin_page> pages();
 
 private:
-    platform::admin_answer health_page(const platform::admin_query& query);
-    platform::admin_answer ready_page(const platform::admin_query& query);
-    platform::admin_answer status_json(const platform::admin_query& query);
-    platform::admin_answer status_page(const platform::admin_query& query);
-    platform::admin_answer metrics_page(const platform::admin_query& query);
-    platform::admin_answer timeline_page(const platform::admin_query& query);
+    io::admin_answer health_page(const io::admin_query& query);
+    io::admin_answer ready_page(const io::admin_query& query);
+    io::admin_answer status_json(const io::admin_query& query);
+    io::admin_answer status_page(const io::admin_query& query);
+    io::admin_answer metrics_page(const io::admin_query& query);
+    io::admin_answer timeline_page(const io::admin_query& query);
     bool wait_for_status(std::unique_lock<std::mutex>& lock);
 
     const operations_options options_;
--- a/include/currantspar/node/runtime.hpp
+++ b/include/currantspar/node/runtime.hpp
@@ -9,7 +9,7 @@
 #include "currantspar/base/result.hpp"
 #include "currantspar/config/settings.hpp"
 #include "currantspar/core/state.hpp"
-#include "currantspar/platform/admin_server.hpp"
+#include "currantspar/io/admin_server.hpp"
 
 namespace currantspar::node {
 
@@ -18,7 +18,7 @@
 {
     bool handle_signals = false; ///< SIGTERM and SIGINT stop the node; only one node of a process may
     duration tick = std::chrono::milliseconds(10);
-    std::map<std::string, platform::admin_page> pages; ///< more pages, or others, on the admin port
+    std::map<std::string, io::admin_page> pages; ///< more pages, or others, on the admin port
     std::function<void(core::core_options&)> adjust;   ///< last word on the core's options
     bool observe = true; ///< false: neither time line nor metrics, to measure their cost
 };
--- /dev/null
+++ b/include/currantspar/relay/engine_choice.hpp
@@ -0,0 +1,120 @@
+#ifndef CURRANTSPAR_RELAY_ENGINE_CHOICE_HPP
+#define CURRANTSPAR_RELAY_ENGINE_CHOICE_HPP
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "currantspar/relay/model.hpp"
+
+namespace currantspar::relay {
+
+/// How fast an engine works; the estimates are corrected by what is measured.
+struct engine_speed
+{
+    double read_tokens_per_ms = 64;      ///< prompt tokens at a prefill engine
+    double decode_read_share = 0.5;      ///< of that speed, at a decode engine
+    double attention_ms_per_million = 0.65; ///< for each million pairs of a new token and an earlier one
+    double step_ms = 4.3;                ///< one token for each running request
+    double context_ms_per_thousand = 0.0086; ///< added to a step for each thousand tokens of context
+    double transfer_setup_ms = 2.7;
+};
+
+struct engine_choice_options
+{
+    data_centre_id data_centre;
+    engine_speed speed{};
+    duration part_memory = std::chrono::seconds(12); ///< how long a part that was read counts as cached
+    duration peer_load_age = std::chrono::milliseconds(1500); ///< older loads of peers are forgotten
+    double reread_ms_per_thousand = 12;  ///< cost above its time of reading a thousand shared tokens again
+    double far_ms = 4;                   ///< cost of an engine in another data centre
+    double decode_interference = 0.6;    ///< cost for the streams of a decode engine that reads, of its time
+};
+
+/// Where a request's prompt is read and where its answer is made.
+struct placement
+{
+    backend_id reader;  ///< computes the prompt; empty: the decoder does it
+    backend_id decoder; ///< makes the answer
+    double read_ms = 0; ///< work that reading the prompt adds to its engine
+    double first_event_ms = 0; ///< predicted time to the first event
+    std::uint32_t cached_tokens = 0; ///< of the prompt, expected at the engine that reads it
+};
+
+/// Work that one node has at an engine.
+struct engine_work
+{
+    double read_ms = 0;        ///< prompts not read yet
+    std::int32_t running = 0;  ///< requests sent and not ended
+    std::int64_t tokens = 0;   ///< of these requests, prompt and answer
+};
+
+/// Chooses engines for prompts that share parts. Each shared part has a home, the same at every node without a
+/// message (rendezvous hashing); a request leaves the home when another engine is predicted to answer first
+/// even though it must read the part again. Not thread safe.
+class engine_choice
+{
+public:
+    explicit engine_choice(engine_choice_options options) : options_(std::move(options)) {}
+
+    /// Chooses among the open engines of a service, leaving out `excluded`; nothing when there is none.
+    [[nodiscard]] std::optional<placement> choose(const request_facts& request, const engine_traits& traits,
+                                                  const std::vector<server_entry>& engines,
+                                                  const std::set<backend_id>& excluded, instant now) const;
+
+    /// An attempt was sent by this node.
+    void on_sent(attempt_id attempt, const placement& chosen, const request_facts& request, instant now);
+    /// Its prompt has been read: the handle or the first event arrived.
+    void on_read(attempt_id attempt, instant now);
+    /// It ended, however.
+    void on_ended(attempt_id attempt);
+    /// An engine restarted or left: what it had cached is gone.
+    void forget_engine(const backend_id& engine);
+
+    /// What this node has at each engine, for its peers.
+    [[nodiscard]] const std::map<backend_id, engine_work>& own_work() const { return own_; }
+    /// Replaces what a peer has at the engines.
+    void on_peer_work(const std::string& peer, std::map<backend_id, engine_work> work, instant now);
+
+private:
+    struct sent
+    {
+        placement where;
+        std::int64_t tokens = 0;
+        bool read = false;
+    };
+    struct peer_work
+    {
+        std::map<backend_id, engine_work> engines;
+        instant received{};
+    };
+    struct estimate;
+
+    [[nodiscard]] engine_work load(const backend_id& engine, instant now) const;
+    [[nodiscard]] std::uint32_t cached_tokens(const request_facts& request, const backend_id& engine, bool home,
+                                              instant now) const;
+    [[nodiscard]] double read_ms(const request_facts& request, std::uint32_t cached, bool decoder) const;
+    [[nodiscard]] double decode_wait_ms(const engine_work& load, const engine_traits& traits,
+                                        const request_facts& request) const;
+    [[nodiscard]] estimate weigh_reader(const server_entry& engine, const request_facts& request, bool home,
+                                        bool decoder, instant now) const;
+
+    engine_choice_options options_;
+    std::map<backend_id, engine_work> own_;
+    std::map<std::string, peer_work> peers_;
+    std::unordered_map<attempt_id, sent> sent_;
+    std::map<backend_id, std::unordered_map<std::uint64_t, instant>> parts_; ///< last read by this node
+};
+
+/// The part by which requests share most: the last one that isn't the request's own; 0: none. Thread safe.
+[[nodiscard]] std::uint64_t sharing_key(const request_facts& request);
+
+/// The engine whose rendezvous rank for a key is highest; null when there are none. Thread safe.
+[[nodiscard]] const server_entry* home_engine(std::uint64_t key, const std::vector<const server_entry*>& engines);
+
+} // namespace currantspar::relay
+
+#endif
--- /dev/null
+++ b/include/currantspar/relay/relay_core.hpp
@@ -0,0 +1,152 @@
+#ifndef CURRANTSPAR_RELAY_RELAY_CORE_HPP
+#define CURRANTSPAR_RELAY_RELAY_CORE_HPP
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "currantspar/base/random.hpp"
+#include "currantspar/core/ledger.hpp"
+#include "currantspar/policy/backend_health.hpp"
+#include "currantspar/policy/limits.hpp"
+#include "currantspar/relay/engine_choice.hpp"
+#include "currantspar/relay/relay_effect.hpp"
+#include "currantspar/relay/routing_table.hpp"
+#include "currantspar/relay/server_circuit.hpp"
+#include "currantspar/relay/server_directory.hpp"
+
+namespace currantspar::relay {
+
+struct relay_options
+{
+    data_centre_id data_centre;
+    std::uint64_t seed = 0;
+    policy::retry_budget_options retries{}; ///< this node's part of what all nodes may add
+    engine_choice_options engines{};
+    duration least_time = std::chrono::milliseconds(8); ///< with less left, a request isn't sent
+    duration no_server_retry = std::chrono::milliseconds(700);
+    duration full_retry = std::chrono::milliseconds(400);
+    unsigned most_sends = 6;                                     ///< of one request, refusals included
+    double hedge_factor = 8;                                     ///< idempotent: silent after this many objectives
+    duration read_grace = std::chrono::milliseconds(600);        ///< a prompt that takes longer is read elsewhere
+};
+
+/// How an attempt came to its end without a whole answer.
+enum class attempt_failure
+{
+    not_written, ///< the server couldn't be reached; no byte of the request was written
+    not_run,     ///< the server says that it didn't run the request
+    lost,        ///< reset, closed, spoilt or silent: it may have run
+};
+
+/// Decides what becomes of each request of the callers: the one place that knows which of them may be sent again.
+/// It does no I/O: each call returns what is to be done. Not thread safe.
+class relay_core
+{
+public:
+    explicit relay_core(relay_options options);
+
+    // What is agreed.
+
+    /// Takes a configuration over; false: it isn't newer than the one in force.
+    bool on_config(std::shared_ptr<const relay_config> config);
+    [[nodiscard]] server_directory& directory() { return directory_; }
+    [[nodiscard]] const server_directory& directory() const { return directory_; }
+    [[nodiscard]] const routing_table& routes() const { return routes_; }
+    [[nodiscard]] engine_choice& engines() { return engines_; }
+    /// True when requests can be served: a configuration and servers are known.
+    [[nodiscard]] bool ready() const;
+
+    // Callers.
+
+    [[nodiscard]] relay_effects on_request(request_number number, request_facts facts, instant now);
+    [[nodiscard]] relay_effects on_caller_gone(request_number number, instant now);
+
+    // Servers.
+
+    /// The first byte of an attempt was written: from here on it may run.
+    void on_written(attempt_id attempt);
+    /// A prompt was computed and waits under `handle`.
+    [[nodiscard]] relay_effects on_prompt_read(attempt_id attempt, const std::string& handle, instant now);
+    /// The head of a stream arrived.
+    [[nodiscard]] relay_effects on_stream_head(attempt_id attempt, instant now);
+    /// Whole events of a stream arrived; `last_event` is the id of the last one.
+    void on_events(attempt_id attempt, const std::string& last_event, instant now);
+    /// A stream came to its proper end.
+    [[nodiscard]] relay_effects on_stream_end(attempt_id attempt, instant now);
+    /// An answer that isn't a stream is whole.
+    [[nodiscard]] relay_effects on_answer(attempt_id attempt, const answer_facts& answer, instant now);
+    [[nodiscard]] relay_effects on_failure(attempt_id attempt, attempt_failure how, const std::string& detail,
+                                           instant now);
+
+    // Time.
+
+    [[nodiscard]] relay_effects on_tick(instant now);
+
+    [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+    /// Counts of each service's requests, by outcome.
+    [[nodiscard]] const std::map<service_id, core::ledger_account>& accounts() const { return accounts_; }
+
+private:
+    struct request
+    {
+        request_facts facts;
+        std::shared_ptr<const relay_config> config; ///< keeps `route` alive
+        const route_spec* route = nullptr;
+        service_id service;
+        instant arrived{};
+        instant give_up_at{};
+        std::set<backend_id> excluded;
+        unsigned sends = 0; ///< attempts written or tried
+        unsigned runs = 0;  ///< attempts that may have run
+        bool may_have_run = false;
+        bool streaming = false; ///< the caller has the head of a stream
+        std::string last_event;
+        attempt_id current;
+        attempt_id load_key; ///< under which engine_choice counts the request; 0: not counted
+        attempt_stage stage = attempt_stage::whole;
+        placement where;
+        backend_id server;
+        instant sent{};
+        bool written = false;
+    };
+
+    using request_map = std::map<request_number, request>;
+
+    [[nodiscard]] request_map::iterator find_attempt(attempt_id attempt);
+    void dispatch(request_map::iterator it, instant now, relay_effects& out);
+    void dispatch_call(request_map::iterator it, instant now, relay_effects& out);
+    void dispatch_generation(request_map::iterator it, const engine_traits& traits, instant now, relay_effects& out);
+    void send(request_map::iterator it, const server_entry& server, attempt_stage stage, const std::string& handle,
+              const std::string& handle_address, instant now, relay_effects& out);
+    void take_over(request_map::iterator it, const std::string& handle, instant now, relay_effects& out);
+    [[nodiscard]] bool may_send_again(const request& req, bool after_run, instant now);
+    void end_attempt(request& req, bool good, instant now);
+    void release_load(request& req);
+    void retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
+                       relay_effects& out);
+    /// Tells the caller that the request can't be answered, as truthfully as it is known.
+    void fail(request_map::iterator it, const std::string& reason, instant now, relay_effects& out);
+    void refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason, instant now,
+                relay_effects& out);
+    void finish(request_map::iterator it, core::request_outcome outcome, const std::string& reason, instant now,
+                relay_effects& out);
+
+    relay_options options_;
+    random_generator random_;
+    routing_table routes_;
+    server_directory directory_;
+    engine_choice engines_;
+    server_circuit circuit_;
+    std::map<service_id, policy::backend_health> health_;
+    std::map<service_id, policy::retry_budget> budgets_;
+    std::map<service_id, core::ledger_account> accounts_;
+    request_map requests_;
+    std::map<attempt_id, request_number> attempts_;
+    std::uint64_t last_attempt_ = 0;
+};
+
+} // namespace currantspar::relay
+
+#endif
--- /dev/null
+++ b/include/currantspar/relay/server_circuit.hpp
@@ -0,0 +1,48 @@
+#ifndef CURRANTSPAR_RELAY_SERVER_CIRCUIT_HPP
+#define CURRANTSPAR_RELAY_SERVER_CIRCUIT_HPP
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "currantspar/relay/model.hpp"
+
+namespace currantspar::relay {
+
+struct circuit_options
+{
+    unsigned failures_to_open = 2;                         ///< in a row
+    duration open_first = std::chrono::milliseconds(800);
+    duration open_most = std::chrono::seconds(4);
+    double open_share_most = 0.6; ///< of a service's servers that may be avoided at once
+};
+
+/// Which servers to avoid because this node's own requests to them failed. A server is tried again when its time
+/// has passed, and when too many of a service would be avoided, none is. Not thread safe.
+class server_circuit
+{
+public:
+    explicit server_circuit(circuit_options options = {}) : options_(options) {}
+
+    void on_success(const backend_id& server);
+    /// A request failed at the server; `certain` when it couldn't even be reached.
+    void on_failure(const backend_id& server, bool certain, instant now);
+    void forget(const backend_id& server) { views_.erase(server); }
+
+    /// The servers of the list that shouldn't get requests now.
+    [[nodiscard]] std::set<backend_id> avoided(const std::vector<server_entry>& servers, instant now) const;
+
+private:
+    struct view
+    {
+        unsigned failures = 0;
+        instant open_until{};
+    };
+
+    circuit_options options_;
+    std::map<backend_id, view> views_;
+};
+
+} // namespace currantspar::relay
+
+#endif
--- /dev/null
+++ b/include/currantspar/relay/server_directory.hpp
@@ -0,0 +1,69 @@
+#ifndef CURRANTSPAR_RELAY_SERVER_DIRECTORY_HPP
+#define CURRANTSPAR_RELAY_SERVER_DIRECTORY_HPP
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "currantspar/relay/model.hpp"
+
+namespace currantspar::relay {
+
+struct directory_options
+{
+    /// How long an entry that went missing around an outage of the store is still used after the store's
+    /// return: live servers write theirs again within two seconds.
+    duration outage_hold = std::chrono::milliseconds(2200);
+};
+
+/// What a change of the directory means for the requests.
+enum class entry_change
+{
+    none,
+    added,
+    changed,
+    closed, ///< takes no new work from now on
+};
+
+/// The servers of all services as the shared store lists them. Not thread safe.
+class server_directory
+{
+public:
+    explicit server_directory(directory_options options = {}) : options_(options) {}
+
+    /// Takes a server's own entry over.
+    entry_change put(const server_entry& entry, instant now);
+    /// A server's entry was removed. Around an outage the server is used for a little longer.
+    entry_change remove(const backend_id& id, instant now);
+    /// Takes a whole listing over: servers that it leaves out are removed.
+    void replace(const std::vector<server_entry>& listed, instant now);
+
+    /// The store stopped answering this process.
+    void on_store_lost(instant now);
+    /// The store answers again.
+    void on_store_back(instant now);
+    /// Drops entries whose hold has ended.
+    void on_tick(instant now);
+
+    /// Servers of a service that may get new work. Valid until the next change.
+    [[nodiscard]] const std::vector<server_entry>& open_servers(const service_id& service) const;
+    /// The entry, or null; draining servers are found too.
+    [[nodiscard]] const server_entry* find(const backend_id& id) const;
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+    [[nodiscard]] const std::map<backend_id, server_entry>& entries() const { return entries_; }
+
+private:
+    void rebuild();
+    [[nodiscard]] bool holding(instant now) const;
+
+    directory_options options_;
+    std::map<backend_id, server_entry> entries_;
+    std::map<service_id, std::vector<server_entry>> open_;
+    std::set<backend_id> missing_; ///< removed around an outage, used until hold_until_
+    bool store_lost_ = false;
+    instant hold_until_{};
+};
+
+} // namespace currantspar::relay
+
+#endif
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -3,7 +3,7 @@
 @0xb3f1c2a97d5e4a61;
 
 using Cxx = import "/capnp/c++.capnp";
-$Cxx.namespace("currantspar::platform::wire");
+$Cxx.namespace("currantspar::io::wire");
 
 # What every probe and its answer carry about their sender.
 struct Summary {
--- a/src/currantspar/cli/command.hpp
+++ b/src/currantspar/cli/command.hpp
@@ -43,6 +43,7 @@
 };
 
 int run_serve(const arguments& given);
+int run_gateway(const arguments& given);
 int run_check(const arguments& given);
 int run_publish(const arguments& given);
 int run_show(const arguments& given);
--- a/src/currantspar/cli/commands_test.cpp
+++ b/src/currantspar/cli/commands_test.cpp
@@ -4,7 +4,7 @@
 
 #include "command.hpp"
 #include "currantspar/cli/run.hpp"
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 #include "demo_installation.hpp"
 #include "fetch.hpp"
 #include "status_table.hpp"
@@ -68,11 +68,11 @@
 BOOST_AUTO_TEST_CASE(a_node_may_be_named_as_a_browser_shows_it)
 {
     std::string asked;
-    platform::scripted_server server({[&asked](int socket) {
-        asked = platform::scripted_server::read_head(socket);
-        platform::scripted_server::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    io::scripted_server server({[&asked](int socket) {
+        asked = io::scripted_server::read_head(socket);
+        io::scripted_server::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
     }});
-    platform::http_client http;
+    io::http_client http;
     BOOST_TEST(fetch_json(http, "http://" + server.address() + "/", "/status").has_value());
     BOOST_TEST(asked.starts_with("GET /status HTTP/1.1"), asked);
 }
--- a/src/currantspar/cli/configuration_commands.cpp
+++ b/src/currantspar/cli/configuration_commands.cpp
@@ -120,7 +120,7 @@
     }
 }
 
-std::vector<std::string> find_missing(platform::http_client& http, const std::vector<std::string>& nodes,
+std::vector<std::string> find_missing(io::http_client& http, const std::vector<std::string>& nodes,
                                       revision wanted)
 {
     const std::vector<node_answer> answers = fetch_statuses(http, nodes);
@@ -142,7 +142,7 @@
 
 int wait_everywhere(const std::vector<std::string>& nodes, revision wanted, duration limit)
 {
-    platform::http_client http;
+    io::http_client http;
     const auto began = std::chrono::steady_clock::now();
     const auto end = began + limit;
     std::vector<std::string> missing = find_missing(http, nodes, wanted);
@@ -190,7 +190,7 @@
 
 void print_nodes(const std::vector<std::string>& nodes)
 {
-    platform::http_client http;
+    io::http_client http;
     for (const node_answer& answer : fetch_statuses(http, nodes)) {
         if (answer.status) {
             std::cout << "  " << answer.address << ": revision " << answer.status->current.value()
--- a/src/currantspar/cli/demo_command.cpp
+++ b/src/currantspar/cli/demo_command.cpp
@@ -5,7 +5,7 @@
 #include <thread>
 
 #include "command.hpp"
-#include "currantspar/platform/log.hpp"
+#include "currantspar/io/log.hpp"
 #include "demo_installation.hpp"
 #include "fetch.hpp"
 #include "log_session.hpp"
@@ -32,10 +32,10 @@
 };
 
 /// Collects an answer; prints the pieces of a streamed one as they come.
-class answer_printer : public platform::http_handler
+class answer_printer : public io::http_handler
 {
 public:
-    void on_head(const platform::http_head& head) override
+    void on_head(const io::http_head& head) override
     {
         result_.status = head.status;
         result_.outcome = head.header("currantspar-outcome");
@@ -54,7 +54,7 @@
         return true;
     }
 
-    void on_end(const platform::transfer_end&) override { done_.set_value(result_); }
+    void on_end(const io::transfer_end&) override { done_.set_value(result_); }
 
     [[nodiscard]] std::future<call_result> result() { return done_.get_future(); }
 
@@ -89,10 +89,10 @@
     std::promise<call_result> done_;
 };
 
-call_result call(platform::http_client& http, const std::string& address, const std::string& path,
-                 const std::string& body, std::vector<platform::http_header> headers = {})
+call_result call(io::http_client& http, const std::string& address, const std::string& path,
+                 const std::string& body, std::vector<io::http_header> headers = {})
 {
-    platform::http_request request;
+    io::http_request request;
     request.method = "POST";
     request.url = "http://" + address + path;
     request.headers = std::move(headers);
@@ -188,7 +188,7 @@
     /// The same booking at two nodes: it runs once.
     bool book_twice()
     {
-        const std::vector<platform::http_header> headers{{"Idempotency-Key", "demo-booking-1"},
+        const std::vector<io::http_header> headers{{"Idempotency-Key", "demo-booking-1"},
                                                          {"X-Test-Tag", "demo-booking-1"}};
         const auto callers = installation_.caller_addresses();
         const call_result first = call(http_, callers[1], "/orders/bookings", R"({"gaskets": 12})", headers);
@@ -267,7 +267,7 @@
     }
 
     demo_installation installation_;
-    platform::http_client http_;
+    io::http_client http_;
 };
 
 /// Threads started later inherit this, so that only wait_for_signal gets these signals.
@@ -297,7 +297,7 @@
                                        "LEVEL", line);
     parser.parse();
     block_stop_signals();
-    platform::configure_log(level.getValue(), config::log_format::key_value);
+    io::configure_log(level.getValue(), config::log_format::key_value);
     return demo().run(once.getValue(), variables.getValue());
 }
 
--- a/src/currantspar/cli/fetch.cpp
+++ b/src/currantspar/cli/fetch.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <future>
 
-#include "currantspar/platform/whole_answer.hpp"
+#include "currantspar/io/whole_answer.hpp"
 
 namespace currantspar::cli {
 
@@ -12,7 +12,7 @@
 
 constexpr std::size_t answer_bytes_most = 256U << 20U;
 
-using answer_future = std::future<platform::whole_answer>;
+using answer_future = std::future<io::whole_answer>;
 
 /// An address copied from a browser or from `demo`'s lines has a scheme and a slash.
 std::string without_scheme(std::string_view address)
@@ -27,25 +27,25 @@
     return std::string(address);
 }
 
-answer_future start_get(platform::http_client& client, const std::string& address, const std::string& path,
+answer_future start_get(io::http_client& client, const std::string& address, const std::string& path,
                         duration limit)
 {
-    const auto promise = std::make_shared<std::promise<platform::whole_answer>>();
-    platform::http_request request;
+    const auto promise = std::make_shared<std::promise<io::whole_answer>>();
+    io::http_request request;
     request.url = "http://" + without_scheme(address) + path;
     request.idle_limit = limit;
     request.new_connection = true;
     client.start(std::move(request),
-                 platform::collect_answer(answer_bytes_most, [promise](const platform::whole_answer& answer) {
+                 io::collect_answer(answer_bytes_most, [promise](const io::whole_answer& answer) {
                      promise->set_value(answer);
                  }));
     return promise->get_future();
 }
 
-result<nlohmann::json> to_json_answer(const platform::whole_answer& answer, const std::string& address,
+result<nlohmann::json> to_json_answer(const io::whole_answer& answer, const std::string& address,
                                       const std::string& path)
 {
-    if (answer.end.how != platform::transfer_result::complete) {
+    if (answer.end.how != io::transfer_result::complete) {
         return fail(error_kind::unavailable, address + path + ": no answer" +
                                                  (answer.end.reason.empty() ? "" : ", " + answer.end.reason));
     }
@@ -65,7 +65,7 @@
     if (!body) {
         return tl::unexpected(body.error());
     }
-    auto status = platform::read_json<node::node_status>(*body);
+    auto status = io::read_json<node::node_status>(*body);
     if (!status) {
         return fail(error_kind::unavailable, address + ": the status can't be read");
     }
@@ -74,13 +74,13 @@
 
 } // namespace
 
-result<nlohmann::json> fetch_json(platform::http_client& client, const std::string& address,
+result<nlohmann::json> fetch_json(io::http_client& client, const std::string& address,
                                   const std::string& path, duration limit)
 {
     return to_json_answer(start_get(client, address, path, limit).get(), address, path);
 }
 
-std::vector<node_answer> fetch_statuses(platform::http_client& client,
+std::vector<node_answer> fetch_statuses(io::http_client& client,
                                         const std::vector<std::string>& addresses)
 {
     std::vector<answer_future> started;
--- a/src/currantspar/cli/fetch.hpp
+++ b/src/currantspar/cli/fetch.hpp
@@ -7,7 +7,7 @@
 #include "currantspar/base/json.hpp"
 #include "currantspar/base/result.hpp"
 #include "currantspar/node/status.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
 namespace currantspar::cli {
 
@@ -15,7 +15,7 @@
 inline constexpr duration admin_limit = std::chrono::seconds(3);
 
 /// GETs a JSON page and waits for it. An error of kind `unavailable` names the address. Thread safe.
-[[nodiscard]] result<nlohmann::json> fetch_json(platform::http_client& client, const std::string& address,
+[[nodiscard]] result<nlohmann::json> fetch_json(io::http_client& client, const std::string& address,
                                                 const std::string& path, duration limit = admin_limit);
 
 /// One node's answer to a question about its status.
@@ -26,7 +26,7 @@
 };
 
 /// Asks all nodes at the same time. Thread safe.
-[[nodiscard]] std::vector<node_answer> fetch_statuses(platform::http_client& client,
+[[nodiscard]] std::vector<node_answer> fetch_statuses(io::http_client& client,
                                                       const std::vector<std::string>& addresses);
 
 /// Encodes a text for use in a URL's query. Thread safe.
--- a/src/currantspar/cli/log_session.cpp
+++ b/src/currantspar/cli/log_session.cpp
@@ -2,12 +2,12 @@
 
 #include <thread>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
 namespace currantspar::cli {
 
 log_session::log_session(const std::string& address)
-    : client_(platform::make_http_log_client(http_, {address}, [this](core::event_body event) {
+    : client_(io::make_http_log_client(http_, {address}, [this](core::event_body event) {
           const std::lock_guard lock(mutex_);
           events_.push_back(std::move(event));
           arrived_.notify_one();
@@ -58,7 +58,7 @@
     return {[&session] { return session.read_to_head(); },
             [&session](agreement::record_body record) { return session.append(std::move(record)); },
             [&session]() -> const agreement::agreed_state& { return session.state(); },
-            [](duration time) { std::this_thread::sleep_for(time); }, platform::monotonic_now};
+            [](duration time) { std::this_thread::sleep_for(time); }, io::monotonic_now};
 }
 
 } // namespace currantspar::cli
--- a/src/currantspar/cli/log_session.hpp
+++ b/src/currantspar/cli/log_session.hpp
@@ -9,7 +9,7 @@
 
 #include "currantspar/agreement/replica.hpp"
 #include "currantspar/base/result.hpp"
-#include "currantspar/platform/log_client.hpp"
+#include "currantspar/io/log_client.hpp"
 #include "publisher.hpp"
 
 namespace currantspar::cli {
@@ -39,8 +39,8 @@
     std::deque<core::event_body> events_;
     std::uint64_t last_append_ = 0;
     agreement::replica replica_;
-    platform::http_client http_;
-    std::unique_ptr<platform::log_client> client_;
+    io::http_client http_;
+    std::unique_ptr<io::log_client> client_;
 };
 
 /// What publish needs of the log, through that session, which has to outlive it.
--- a/src/currantspar/cli/run.cpp
+++ b/src/currantspar/cli/run.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-constexpr std::array<command, 9> commands{{
+constexpr std::array<command, 10> commands{{
     {"serve", "run one node with its settings", run_serve},
+    {"gateway", "run one node on the users' platform", run_gateway},
     {"check", "check an operators' text or a settings file", run_check},
     {"publish", "publish an operators' text", run_publish},
     {"show", "show the configuration in force and its history", run_show},
--- a/src/currantspar/cli/status_command.cpp
+++ b/src/currantspar/cli/status_command.cpp
@@ -38,7 +38,7 @@
     TCLAP::SwitchArg json("j", "json", "print the nodes' whole answers as JSON", line);
     TCLAP::SwitchArg watch("w", "watch", "show it again every two seconds until stopped", line);
     parser.parse();
-    platform::http_client http;
+    io::http_client http;
     while (true) {
         const auto answers = fetch_statuses(http, nodes.getValue());
         const std::string text = json.getValue() ? render_json(answers) : render_status(answers);
--- a/src/currantspar/cli/timeline_command.cpp
+++ b/src/currantspar/cli/timeline_command.cpp
@@ -3,8 +3,8 @@
 
 #include "command.hpp"
 #include "currantspar/config/units.hpp"
-#include "currantspar/platform/clock.hpp"
-#include "currantspar/platform/whole_answer.hpp"
+#include "currantspar/io/clock.hpp"
+#include "currantspar/io/whole_answer.hpp"
 #include "fetch.hpp"
 #include "timeline_render.hpp"
 
@@ -71,7 +71,7 @@
         if (!body) {
             return tl::unexpected(body.error());
         }
-        auto part = platform::read_json<node::timeline_part>(*body);
+        auto part = io::read_json<node::timeline_part>(*body);
         if (!part) {
             return fail(error_kind::unavailable, query_.nodes[index] + ": the time line can't be read");
         }
@@ -80,7 +80,7 @@
 
     timeline_query query_;
     std::vector<std::uint64_t> after_;
-    platform::http_client http_;
+    io::http_client http_;
 };
 
 std::string since_parameter(const std::string& text)
@@ -90,7 +90,7 @@
         throw TCLAP::CmdLineParseException("expected a duration such as 10m, found " + text, "since");
     }
     const wall_time since =
-        platform::wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(*back);
+        io::wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(*back);
     return std::to_string(since.time_since_epoch().count());
 }
 
--- /dev/null
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -0,0 +1,205 @@
+#include "currantspar/gateway/caller_connection.hpp"
+
+#include "currantspar/io/clock.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_request_timeout = 408;
+constexpr int status_body_too_large = 413;
+constexpr int status_head_too_large = 431;
+/// Bytes of further requests that are kept while one is answered.
+constexpr std::size_t pipelined_bytes = 1048576;
+/// An answer that its caller doesn't read is given up beyond this.
+constexpr std::size_t unsent_most = 8388608;
+
+int to_status(read_progress problem)
+{
+    switch (problem) {
+    case read_progress::head_too_large:
+        return status_head_too_large;
+    case read_progress::body_too_large:
+        return status_body_too_large;
+    default:
+        return status_bad_request;
+    }
+}
+
+} // namespace
+
+caller_connection::caller_connection(ACE_Reactor& reactor, caller_sink& sink, reader_limits limits, instant now)
+    : tcp_connection(reactor), sink_(sink), limits_(limits), since_(now)
+{}
+
+void caller_connection::on_bytes(std::string_view bytes)
+{
+    if (closing_) {
+        return;
+    }
+    if (in_.empty() && !request_open_ && !reader_) {
+        since_ = io::monotonic_now();
+    }
+    in_.append(bytes);
+    if (in_.size() > pipelined_bytes + limits_.body_bytes) {
+        abort();
+        return;
+    }
+    read_request();
+}
+
+void caller_connection::read_request()
+{
+    if (in_read_) {
+        return;
+    }
+    in_read_ = true;
+    while (is_open() && !closing_ && !request_open_ && !in_.empty()) {
+        if (!reader_) {
+            reader_.emplace(limits_);
+            continue_sent_ = false;
+        }
+        const read_progress progress = reader_->read(in_);
+        if (progress == read_progress::more) {
+            if (reader_->expects_continue() && !continue_sent_) {
+                continue_sent_ = true;
+                write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        }
+        if (progress != read_progress::complete) {
+            refuse(to_status(progress));
+            break;
+        }
+        keep_alive_ = reader_->keep_alive();
+        http_request request = reader_->take();
+        reader_.reset();
+        request_open_ = true;
+        answer_begun_ = false;
+        sink_.request_arrived(*this, std::move(request));
+    }
+    in_read_ = false;
+}
+
+void caller_connection::refuse(int status)
+{
+    sink_.request_malformed(status);
+    write(write_answer_head(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
+    closing_ = true;
+    on_sent();
+}
+
+void caller_connection::answer(int status, const http_fields& fields, std::string_view body, bool close_after)
+{
+    close_after_ = close_after || !keep_alive_;
+    http_fields all = fields;
+    all.push_back({"Content-Length", std::to_string(body.size())});
+    if (close_after_) {
+        all.push_back({"Connection", "close"});
+    }
+    std::string out = write_answer_head(status, all);
+    out.append(body);
+    answer_begun_ = true;
+    write(out);
+    finished();
+}
+
+void caller_connection::begin_answer(int status, const http_fields& fields, bool close_after)
+{
+    close_after_ = close_after || !keep_alive_;
+    http_fields all = fields;
+    all.push_back({"Transfer-Encoding", "chunked"});
+    if (close_after_) {
+        all.push_back({"Connection", "close"});
+    }
+    answer_begun_ = true;
+    write(write_answer_head(status, all));
+}
+
+void caller_connection::continue_answer(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    write(write_chunk(bytes));
+    if (unsent() > unsent_most) {
+        abort();
+    }
+}
+
+void caller_connection::end_answer()
+{
+    write(last_chunk);
+    finished();
+}
+
+void caller_connection::finished()
+{
+    request_open_ = false;
+    since_ = io::monotonic_now();
+    if (close_after_) {
+        closing_ = true;
+        on_sent();
+        return;
+    }
+    read_request();
+}
+
+void caller_connection::on_sent()
+{
+    if (closing_ && unsent() == 0) {
+        shut();
+    }
+}
+
+void caller_connection::shut()
+{
+    if (is_open()) {
+        close();
+        sink_.connection_closed(*this);
+    }
+}
+
+void caller_connection::abort()
+{
+    shut();
+}
+
+void caller_connection::on_closed(bool)
+{
+    sink_.connection_closed(*this);
+}
+
+void caller_connection::check_time(const relay::front_limits& limits, instant now)
+{
+    if (request_open_ || !is_open()) {
+        return;
+    }
+    if (closing_) {
+        if (now - since_ > limits.header_timeout) {
+            shut();
+        }
+        return;
+    }
+    if (!reader_ && in_.empty()) {
+        if (now - since_ > limits.idle_timeout) {
+            shut();
+        }
+        return;
+    }
+    const bool head_late = reader_ && !reader_->head_done() && now - since_ > limits.header_timeout;
+    const bool body_late = now - since_ > limits.header_timeout + limits.idle_timeout;
+    if (head_late || body_late) {
+        refuse(status_request_timeout);
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0) {
+        shut();
+    }
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -0,0 +1,541 @@
+#include "gateway_node.hpp"
+
+#include <algorithm>
+
+#include "currantspar/base/hash.hpp"
+#include "currantspar/io/clock.hpp"
+#include "currantspar/io/log.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr int first_failure = 300;
+constexpr int status_misdirected = 421;
+/// The share of all nodes' retries that one node may use while it doesn't know how many there are.
+constexpr double retry_share = 1.0 / 16;
+/// From the signal to stop until idle connections are closed: the load balancer has left by then.
+constexpr duration balancer_leaves = std::chrono::milliseconds(2600);
+/// Kept free before the process would be killed.
+constexpr duration stop_margin = std::chrono::milliseconds(400);
+constexpr duration idle_check_period = std::chrono::milliseconds(250);
+constexpr duration server_poll_period = std::chrono::milliseconds(800);
+constexpr duration configuration_wait = std::chrono::seconds(10);
+/// Statuses that promise that a request hasn't run.
+constexpr int promises[] = {408, 421, 429, 503};
+
+relay::relay_options to_options(const gateway_settings& settings)
+{
+    relay::relay_options options;
+    options.data_centre = settings.data_centre;
+    options.seed = fast_hash(settings.node);
+    options.retries = {settings.retry_ratio * 0.8, std::max(2.0, settings.retry_reserve * 0.8 * retry_share)};
+    return options;
+}
+
+bool is_promise(int status)
+{
+    return std::find(std::begin(promises), std::end(promises), status) != std::end(promises);
+}
+
+http_fields forwarded_fields(const http_fields& fields)
+{
+    http_fields out;
+    std::copy_if(fields.begin(), fields.end(), std::back_inserter(out),
+                 [](const http_field& field) { return !is_connection_field(field.name); });
+    return out;
+}
+
+} // namespace
+
+/// One attempt at a server and what has come of its answer.
+class gateway_node::attempt : public exchange_sink
+{
+public:
+    attempt(gateway_node& node, const relay::start_attempt& effect)
+        : node_(node), number(effect.attempt), request(effect.request), stage(effect.stage),
+          request_id(effect.request_id), expects_stream(effect.stream)
+    {}
+
+    void request_written() override { node_.core_.on_written(number); }
+
+    bool answer_head(int status, const http_fields& head) override
+    {
+        facts = node_.wire_.decode_answer(status, head);
+        if (!facts.request_id.empty() && facts.request_id != request_id) {
+            io::log_event(io::log_level::warning, "foreign_answer_skipped",
+                          {{"request", request_id}, {"belongs_to", facts.request_id}});
+            return false;
+        }
+        fields = forwarded_fields(head);
+        node_.on_head(*this);
+        return true;
+    }
+
+    void answer_body(std::string_view bytes) override { node_.on_body(*this, bytes); }
+    void answer_complete() override { node_.on_complete(*this); }
+    void request_failed(bool written, const std::string& detail) override { node_.on_failed(*this, written, detail); }
+
+    /// A success that is provably the server's answer to this request.
+    [[nodiscard]] bool genuine_success() const
+    {
+        return facts.status >= status_ok && facts.status < first_failure && facts.signed_ && !facts.encoded &&
+               facts.request_id == request_id;
+    }
+
+private:
+    gateway_node& node_;
+
+public:
+    attempt_id number;
+    relay::request_number request;
+    relay::attempt_stage stage;
+    std::string request_id;
+    bool expects_stream;
+    bool streaming = false;
+    exchange_id exchange = 0;
+    relay::answer_facts facts;
+    http_fields fields;
+    std::string body;
+    event_splitter events;
+};
+
+/// Answers the load balancer.
+class gateway_node::ready_sink : public caller_sink
+{
+public:
+    explicit ready_sink(gateway_node& node) : node_(node) {}
+
+    void accept(ACE_SOCK_Stream& accepted)
+    {
+        auto fresh = std::make_unique<caller_connection>(node_.reactor_, *this, reader_limits{}, io::monotonic_now());
+        if (fresh->accept(accepted)) {
+            caller_connection* key = fresh.get();
+            connections_.emplace(key, std::move(fresh));
+        }
+    }
+
+    void request_arrived(caller_connection& from, http_request request) override
+    {
+        const bool ready = node_.wire_.is_ready_question(request) && node_.core_.ready() && !node_.stopping_;
+        from.answer(ready ? status_ok : status_unavailable, {}, "", node_.stopping_);
+    }
+    void request_malformed(int) override {}
+    void connection_closed(caller_connection& closed) override
+    {
+        const auto found = connections_.find(&closed);
+        if (found != connections_.end()) {
+            closed_.push_back(std::move(found->second));
+            connections_.erase(found);
+        }
+    }
+    void free_closed() { closed_.clear(); }
+
+private:
+    gateway_node& node_;
+    std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
+    std::vector<std::unique_ptr<caller_connection>> closed_;
+};
+
+gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
+    : reactor_(reactor), wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)),
+      servers_(reactor, {}), store_(reactor, {}), ready_(std::make_unique<ready_sink>(*this)),
+      front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
+      ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); })
+{}
+
+gateway_node::~gateway_node() = default;
+
+result<void> gateway_node::start()
+{
+    if (const auto opened = ready_listener_.open(settings_.ready_address); !opened) {
+        return opened;
+    }
+    if (const auto opened = front_listener_.open(settings_.front_address); !opened) {
+        return opened;
+    }
+    watch_store();
+    io::log_event(io::log_level::info, "started",
+                  {{"node", settings_.node},
+                   {"data_centre", settings_.data_centre.str()},
+                   {"front", settings_.front_address},
+                   {"store", settings_.store_address}});
+    return {};
+}
+
+// Callers.
+
+void gateway_node::accept_caller(ACE_SOCK_Stream& accepted)
+{
+    const auto& config = core_.routes().config();
+    const relay::front_limits limits = config ? config->limits : relay::front_limits{};
+    auto fresh = std::make_unique<caller_connection>(
+        reactor_, *this, reader_limits{limits.header_bytes, limits.body_bytes}, io::monotonic_now());
+    if (fresh->accept(accepted)) {
+        caller_connection* key = fresh.get();
+        connections_.emplace(key, std::move(fresh));
+    }
+}
+
+void gateway_node::request_arrived(caller_connection& from, http_request request)
+{
+    const instant now = io::monotonic_now();
+    auto facts = wire_.decode_request(request);
+    if (!facts) {
+        io::log_event(io::log_level::warning, "request_invalid", {{"reason", facts.error().message}});
+        from.answer(400, {}, "", false);
+        return;
+    }
+    const relay::request_number number(++last_request_);
+    from.number = number;
+    callers_.emplace(number, caller{&from, std::move(request)});
+    run(core_.on_request(number, std::move(*facts), now), now);
+}
+
+void gateway_node::request_malformed(int status)
+{
+    io::log_event(io::log_level::warning, "request_malformed", {{"status", std::to_string(status)}});
+}
+
+void gateway_node::connection_closed(caller_connection& closed)
+{
+    if (closed.has_request() && callers_.erase(closed.number) > 0) {
+        const instant now = io::monotonic_now();
+        run(core_.on_caller_gone(closed.number, now), now);
+    }
+    const auto found = connections_.find(&closed);
+    if (found != connections_.end()) {
+        closed_.push_back(std::move(found->second));
+        connections_.erase(found);
+    }
+}
+
+gateway_node::caller* gateway_node::find_caller(relay::request_number number)
+{
+    const auto found = callers_.find(number);
+    return found == callers_.end() ? nullptr : &found->second;
+}
+
+// Effects.
+
+void gateway_node::run(const relay::relay_effects& effects, instant now)
+{
+    for (const relay::relay_effect& effect : effects) {
+        std::visit([&](const auto& each) { apply(each, now); }, effect);
+    }
+}
+
+void gateway_node::apply(const relay::start_attempt& effect, instant now)
+{
+    const caller* from = find_caller(effect.request);
+    if (from == nullptr) {
+        return;
+    }
+    auto fresh = std::make_unique<attempt>(*this, effect);
+    attempt& added = *fresh;
+    attempts_.emplace(effect.attempt, std::move(fresh));
+    added.exchange = servers_.start(effect.address, wire_.encode_attempt(from->request, effect), added, now);
+}
+
+void gateway_node::apply(const relay::cancel_attempt& effect, instant)
+{
+    retire(effect.attempt);
+}
+
+void gateway_node::apply(const relay::open_answer& effect, instant)
+{
+    const caller* to = find_caller(effect.request);
+    const auto from = attempts_.find(effect.attempt);
+    if (to == nullptr || from == attempts_.end()) {
+        return;
+    }
+    from->second->streaming = true;
+    if (effect.with_head) {
+        to->connection->begin_answer(from->second->facts.status, from->second->fields, stopping_);
+    }
+}
+
+void gateway_node::apply(const relay::end_answer& effect, instant)
+{
+    const auto found = callers_.find(effect.request);
+    if (found != callers_.end()) {
+        caller_connection* connection = found->second.connection;
+        callers_.erase(found);
+        connection->end_answer();
+    }
+}
+
+void gateway_node::apply(const relay::break_answer& effect, instant)
+{
+    const auto found = callers_.find(effect.request);
+    if (found != callers_.end()) {
+        caller_connection* connection = found->second.connection;
+        callers_.erase(found);
+        connection->abort();
+    }
+}
+
+void gateway_node::apply(const relay::deliver_answer& effect, instant)
+{
+    const auto to = callers_.find(effect.request);
+    const auto from = attempts_.find(effect.attempt);
+    if (to == callers_.end() || from == attempts_.end()) {
+        return;
+    }
+    caller_connection* connection = to->second.connection;
+    callers_.erase(to);
+    connection->answer(from->second->facts.status, from->second->fields, from->second->body, stopping_);
+}
+
+void gateway_node::apply(const relay::reply& effect, instant)
+{
+    const auto to = callers_.find(effect.request);
+    if (to == callers_.end()) {
+        return;
+    }
+    caller_connection* connection = to->second.connection;
+    callers_.erase(to);
+    connection->answer(effect.status, wire_.encode_reply(effect), "", stopping_);
+}
+
+void gateway_node::apply(const relay::free_prompt&, instant) {}
+
+void gateway_node::apply(const relay::log_decision& effect, instant)
+{
+    std::vector<io::log_field> fields = {{"request", effect.request_id}};
+    for (const auto& [key, value] : effect.fields) {
+        fields.push_back({key, value});
+    }
+    io::log_event(io::log_level::info, effect.event, fields);
+}
+
+// Servers.
+
+void gateway_node::on_head(attempt& from)
+{
+    if (from.expects_stream && from.genuine_success()) {
+        const instant now = io::monotonic_now();
+        run(core_.on_stream_head(from.number, now), now);
+    }
+}
+
+void gateway_node::on_body(attempt& from, std::string_view bytes)
+{
+    if (!from.streaming) {
+        from.body.append(bytes);
+        return;
+    }
+    const std::string whole = from.events.push(bytes);
+    if (whole.empty()) {
+        return;
+    }
+    if (const caller* to = find_caller(from.request); to != nullptr) {
+        to->connection->continue_answer(whole);
+    }
+    core_.on_events(from.number, from.events.last_id(), io::monotonic_now());
+}
+
+void gateway_node::on_complete(attempt& from)
+{
+    const instant now = io::monotonic_now();
+    const attempt_id number = from.number;
+    const relay::answer_facts& facts = from.facts;
+    relay::relay_effects effects;
+    if (from.streaming) {
+        if (!from.events.at_event_end()) {
+            effects = core_.on_failure(number, relay::attempt_failure::lost, "stream cut in an event", now);
+        } else {
+            effects = core_.on_stream_end(number, now);
+        }
+    } else if (facts.not_run || facts.status == status_misdirected) {
+        effects = core_.on_failure(number, relay::attempt_failure::not_run, "status " + std::to_string(facts.status), now);
+    } else if (from.stage == relay::attempt_stage::read_prompt) {
+        const auto handle = wire_.decode_prompt_handle(from.body);
+        effects = facts.status == status_ok && handle
+                      ? core_.on_prompt_read(number, *handle, now)
+                      : core_.on_failure(number, relay::attempt_failure::lost, "prompt not read: status " +
+                                             std::to_string(facts.status), now);
+    } else if (facts.status < first_failure && !from.genuine_success()) {
+        effects = core_.on_failure(number, relay::attempt_failure::lost, "answer without proof", now);
+    } else if (is_promise(facts.status)) {
+        effects = core_.on_failure(number, relay::attempt_failure::lost, "unproven status " +
+                                       std::to_string(facts.status), now);
+    } else {
+        effects = core_.on_answer(number, facts, now);
+    }
+    run(effects, now);
+    retire(number);
+}
+
+void gateway_node::on_failed(attempt& from, bool written, const std::string& detail)
+{
+    const instant now = io::monotonic_now();
+    const attempt_id number = from.number;
+    const auto how = written ? relay::attempt_failure::lost : relay::attempt_failure::not_written;
+    run(core_.on_failure(number, how, detail, now), now);
+    retire(number);
+}
+
+void gateway_node::retire(attempt_id number)
+{
+    const auto found = attempts_.find(number);
+    if (found != attempts_.end()) {
+        servers_.cancel(found->second->exchange);
+        retired_.push_back(std::move(found->second));
+        attempts_.erase(found);
+    }
+}
+
+// The shared store.
+
+void gateway_node::watch_store()
+{
+    store_watch_options configuration;
+    configuration.wait = configuration_wait;
+    watches_.push_back(std::make_unique<store_watch>(
+        store_, wire_, settings_.store_address, shared_topic::configuration, configuration,
+        store_watch_handlers{
+            [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
+            [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
+            [](const std::string& reason, instant) {
+                io::log_event(io::log_level::warning, "store_lost", {{"topic", "configuration"}, {"reason", reason}});
+            },
+            [](instant) { io::log_event(io::log_level::info, "store_back", {{"topic", "configuration"}}); }}));
+    store_watch_options servers;
+    servers.period = server_poll_period;
+    watches_.push_back(std::make_unique<store_watch>(
+        store_, wire_, settings_.store_address, shared_topic::servers, servers,
+        store_watch_handlers{
+            [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, true, now); },
+            [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, false, now); },
+            [this](const std::string& reason, instant now) {
+                core_.directory().on_store_lost(now);
+                io::log_event(io::log_level::warning, "store_lost", {{"topic", "servers"}, {"reason", reason}});
+            },
+            [this](instant now) {
+                core_.directory().on_store_back(now);
+                io::log_event(io::log_level::info, "store_back", {{"topic", "servers"}});
+            }}));
+}
+
+void gateway_node::on_configuration(const std::vector<keyed_record>& records, instant)
+{
+    for (const keyed_record& record : records) {
+        const auto config = wire_.decode_config(record);
+        if (!config) {
+            io::log_event(io::log_level::warning, "configuration_unreadable",
+                          {{"key", record.key}, {"offset", std::to_string(record.offset)}, {"reason", config.error().message}});
+            continue;
+        }
+        if (*config == nullptr) {
+            continue;
+        }
+        const bool newer = core_.on_config(*config);
+        io::log_event(io::log_level::info, newer ? "configuration_in_force" : "configuration_ignored",
+                      {{"version", std::to_string((*config)->version)},
+                       {"offset", std::to_string(record.offset)},
+                       {"routes", std::to_string((*config)->routes.size())}});
+    }
+}
+
+void gateway_node::on_servers(const std::vector<keyed_record>& records, bool whole, instant now)
+{
+    std::vector<relay::server_entry> listed;
+    for (const keyed_record& record : records) {
+        const backend_id id(record.key);
+        if (!record.value) {
+            if (core_.directory().remove(id, now) == relay::entry_change::closed) {
+                core_.engines().forget_engine(id);
+                io::log_event(io::log_level::info, "server_removed", {{"server", record.key}});
+            }
+            continue;
+        }
+        const auto entry = wire_.decode_server(record);
+        if (!entry) {
+            io::log_event(io::log_level::warning, "server_entry_unreadable",
+                          {{"server", record.key}, {"reason", entry.error().message}});
+            continue;
+        }
+        if (whole) {
+            listed.push_back(*entry);
+            continue;
+        }
+        const relay::entry_change change = core_.directory().put(*entry, now);
+        if (change != relay::entry_change::none) {
+            io::log_event(io::log_level::info, change == relay::entry_change::closed ? "server_draining" : "server_changed",
+                          {{"server", record.key},
+                           {"service", entry->service.str()},
+                           {"address", entry->address},
+                           {"offset", std::to_string(record.offset)}});
+        }
+    }
+    if (whole) {
+        core_.directory().replace(listed, now);
+        io::log_event(io::log_level::info, "servers_listed", {{"count", std::to_string(listed.size())}});
+    }
+}
+
+// Time.
+
+void gateway_node::on_tick(instant now)
+{
+    for (const auto& watch : watches_) {
+        watch->on_tick(now);
+    }
+    servers_.on_tick(now);
+    store_.on_tick(now);
+    run(core_.on_tick(now), now);
+    if (now >= idle_check_due_) {
+        idle_check_due_ = now + idle_check_period;
+        const auto& config = core_.routes().config();
+        const relay::front_limits limits = config ? config->limits : relay::front_limits{};
+        std::vector<caller_connection*> open;
+        for (const auto& [connection, owner] : connections_) {
+            open.push_back(connection);
+        }
+        for (caller_connection* connection : open) {
+            connection->check_time(limits, now);
+            if (stopping_ && now - stop_began_ > balancer_leaves && connection->is_open()) {
+                connection->close_if_idle();
+            }
+        }
+    }
+    if (core_.ready() != was_ready_) {
+        was_ready_ = core_.ready();
+        io::log_event(io::log_level::info, "readiness_changed", {{"ready", was_ready_ ? "true" : "false"}});
+    }
+    closed_.clear();
+    retired_.clear();
+    ready_->free_closed();
+}
+
+void gateway_node::stop(instant now)
+{
+    if (!std::exchange(stopping_, true)) {
+        stop_began_ = now;
+        io::log_event(io::log_level::info, "stopping", {{"open_requests", std::to_string(core_.open_requests())}});
+    }
+}
+
+void gateway_node::reload(const gateway_settings& fresh)
+{
+    if (fresh.store_address != settings_.store_address) {
+        watches_.clear();
+        settings_.store_address = fresh.store_address;
+        watch_store();
+    }
+    io::log_event(io::log_level::info, "settings_reloaded", {{"store", settings_.store_address}});
+}
+
+bool gateway_node::done(instant now) const
+{
+    if (!stopping_) {
+        return false;
+    }
+    const bool idle = core_.open_requests() == 0 && connections_.empty();
+    return (idle && now - stop_began_ > balancer_leaves) || now - stop_began_ > settings_.grace - stop_margin;
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -0,0 +1,103 @@
+#ifndef CURRANTSPAR_GATEWAY_GATEWAY_NODE_HPP
+#define CURRANTSPAR_GATEWAY_GATEWAY_NODE_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "currantspar/gateway/caller_connection.hpp"
+#include "currantspar/gateway/event_splitter.hpp"
+#include "currantspar/gateway/server_connection.hpp"
+#include "currantspar/gateway/store_watch.hpp"
+#include "currantspar/gateway/wire_protocol.hpp"
+#include "currantspar/relay/relay_core.hpp"
+#include "listener.hpp"
+
+namespace currantspar::gateway {
+
+/// One node: carries events between its connections and the relay core. Runs in the thread of its reactor.
+class gateway_node : public caller_sink
+{
+public:
+    gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings);
+    ~gateway_node() override;
+
+    /// Opens the listeners and begins to read the shared store.
+    [[nodiscard]] result<void> start();
+    /// Stops gracefully: no longer ready, then closes idle connections, then done() once nothing is in hand.
+    void stop(instant now);
+    /// Takes over settings that may change while running.
+    void reload(const gateway_settings& fresh);
+    void on_tick(instant now);
+    [[nodiscard]] bool done(instant now) const;
+
+private:
+    class attempt;
+    class ready_sink;
+    struct caller
+    {
+        caller_connection* connection = nullptr;
+        http_request request;
+    };
+
+    // Callers.
+    void request_arrived(caller_connection& from, http_request request) override;
+    void request_malformed(int status) override;
+    void connection_closed(caller_connection& closed) override;
+    void accept_caller(ACE_SOCK_Stream& accepted);
+
+    // Effects.
+    void run(const relay::relay_effects& effects, instant now);
+    void apply(const relay::start_attempt& effect, instant now);
+    void apply(const relay::cancel_attempt& effect, instant now);
+    void apply(const relay::open_answer& effect, instant now);
+    void apply(const relay::end_answer& effect, instant now);
+    void apply(const relay::break_answer& effect, instant now);
+    void apply(const relay::deliver_answer& effect, instant now);
+    void apply(const relay::reply& effect, instant now);
+    void apply(const relay::free_prompt& effect, instant now);
+    void apply(const relay::log_decision& effect, instant now);
+
+    // Servers.
+    void on_head(attempt& from);
+    void on_body(attempt& from, std::string_view bytes);
+    void on_complete(attempt& from);
+    void on_failed(attempt& from, bool written, const std::string& detail);
+    void retire(attempt_id number);
+
+    // The shared store.
+    void watch_store();
+    void on_configuration(const std::vector<keyed_record>& records, instant now);
+    void on_servers(const std::vector<keyed_record>& records, bool whole, instant now);
+
+    [[nodiscard]] caller* find_caller(relay::request_number number);
+
+    ACE_Reactor& reactor_;
+    const wire_protocol& wire_;
+    gateway_settings settings_;
+    relay::relay_core core_;
+    server_pool servers_;
+    server_pool store_;
+    std::unique_ptr<ready_sink> ready_;
+    listener front_listener_;
+    listener ready_listener_;
+    std::vector<std::unique_ptr<store_watch>> watches_;
+    store_watch* server_watch_ = nullptr;
+
+    std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
+    std::vector<std::unique_ptr<caller_connection>> closed_;
+    std::unordered_map<relay::request_number, caller> callers_;
+    std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
+    std::vector<std::unique_ptr<attempt>> retired_;
+    std::uint64_t last_request_ = 0;
+    bool stopping_ = false;
+    bool was_ready_ = false;
+    instant stop_began_{};
+    instant idle_check_due_{};
+};
+
+} // namespace currantspar::gateway
+
+#endif
--- /dev/null
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -0,0 +1,192 @@
+#include "currantspar/gateway/message_reader.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
+
+namespace currantspar::gateway {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int first_final_status = 200;
+
+/// A header line that begins with a blank continues the line before; intermediaries read that differently.
+bool has_folded_line(std::string_view bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    const std::string_view head = bytes.substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
+template <typename Fields>
+http_fields copy_fields(const Fields& from)
+{
+    http_fields out;
+    for (const auto& field : from) {
+        out.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return out;
+}
+
+read_progress to_progress(const boost::system::error_code& problem)
+{
+    if (problem == http::error::header_limit) {
+        return read_progress::head_too_large;
+    }
+    if (problem == http::error::body_limit) {
+        return read_progress::body_too_large;
+    }
+    return read_progress::malformed;
+}
+
+/// Feeds the parser until it is done, wants more or fails.
+template <typename Parser>
+read_progress feed(Parser& parser, std::string& bytes)
+{
+    while (!bytes.empty() && !parser.is_done()) {
+        boost::system::error_code problem;
+        const std::size_t used = parser.put(boost::asio::buffer(bytes), problem);
+        bytes.erase(0, used);
+        if (problem == http::error::need_more) {
+            return read_progress::more;
+        }
+        if (problem) {
+            return to_progress(problem);
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    return parser.is_done() ? read_progress::complete : read_progress::more;
+}
+
+} // namespace
+
+struct request_reader::implementation
+{
+    http::request_parser<http::string_body> parser;
+    bool head_checked = false;
+};
+
+request_reader::request_reader(reader_limits limits) : impl_(std::make_unique<implementation>())
+{
+    impl_->parser.eager(true);
+    impl_->parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    impl_->parser.body_limit(limits.body_bytes);
+}
+
+request_reader::~request_reader() = default;
+
+read_progress request_reader::read(std::string& bytes)
+{
+    if (!impl_->head_checked && has_folded_line(bytes)) {
+        return read_progress::malformed;
+    }
+    const read_progress progress = feed(impl_->parser, bytes);
+    impl_->head_checked = impl_->parser.is_header_done();
+    if (impl_->head_checked && impl_->parser.get().version() != 11) {
+        return read_progress::malformed;
+    }
+    if (progress == read_progress::complete) {
+        const auto& fields = impl_->parser.get();
+        if (fields.count(http::field::host) != 1 || fields.count(http::field::content_length) > 1) {
+            return read_progress::malformed;
+        }
+    }
+    return progress;
+}
+
+bool request_reader::head_done() const
+{
+    return impl_->parser.is_header_done();
+}
+
+bool request_reader::expects_continue() const
+{
+    return impl_->parser.is_header_done() &&
+           boost::beast::iequals(impl_->parser.get()[http::field::expect], "100-continue");
+}
+
+bool request_reader::keep_alive() const
+{
+    return impl_->parser.get().keep_alive();
+}
+
+http_request request_reader::take()
+{
+    auto message = impl_->parser.release();
+    return {std::string(message.method_string()), std::string(message.target()), copy_fields(message),
+            std::move(message.body())};
+}
+
+struct answer_reader::implementation
+{
+    explicit implementation(reader_limits given) : limits(given) { restart(); }
+
+    void restart()
+    {
+        parser.emplace();
+        parser->eager(true);
+        parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser->body_limit(limits.body_bytes);
+    }
+
+    reader_limits limits;
+    boost::optional<http::response_parser<http::string_body>> parser;
+};
+
+answer_reader::answer_reader(reader_limits limits) : impl_(std::make_unique<implementation>(limits)) {}
+
+answer_reader::~answer_reader() = default;
+
+read_progress answer_reader::read(std::string& bytes)
+{
+    for (;;) {
+        const read_progress progress = feed(*impl_->parser, bytes);
+        const bool interim = progress == read_progress::complete && status() < first_final_status;
+        if (!interim) {
+            return progress;
+        }
+        impl_->restart();
+    }
+}
+
+bool answer_reader::end_of_connection()
+{
+    if (!impl_->parser->is_header_done() || !impl_->parser->need_eof()) {
+        return false;
+    }
+    boost::system::error_code problem;
+    impl_->parser->put_eof(problem);
+    return !problem && impl_->parser->is_done();
+}
+
+bool answer_reader::head_done() const
+{
+    return impl_->parser->is_header_done();
+}
+
+int answer_reader::status() const
+{
+    return static_cast<int>(impl_->parser->get().result_int());
+}
+
+http_fields answer_reader::fields() const
+{
+    return copy_fields(impl_->parser->get());
+}
+
+bool answer_reader::keep_alive() const
+{
+    return !impl_->parser->need_eof() && impl_->parser->get().keep_alive();
+}
+
+std::string answer_reader::take_body()
+{
+    return std::exchange(impl_->parser->get().body(), std::string());
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -0,0 +1,297 @@
+#include "currantspar/gateway/server_connection.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "currantspar/io/clock.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+/// The `timeout` of a Keep-Alive field, in seconds.
+std::optional<std::chrono::seconds> stated_timeout(const http_fields& fields)
+{
+    const std::string* value = find_field(fields, "Keep-Alive");
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    constexpr std::string_view key = "timeout=";
+    const std::size_t at = value->find(key);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char* begin = value->data() + at + key.size();
+    const auto parsed = std::from_chars(begin, value->data() + value->size(), seconds);
+    if (parsed.ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+class server_pool::connection : public tcp_connection
+{
+public:
+    connection(ACE_Reactor& reactor, server_pool& pool, std::string address)
+        : tcp_connection(reactor), pool_(pool), address_(std::move(address))
+    {}
+
+    bool open(const io::socket_address& to, instant now)
+    {
+        opened_ = now;
+        return connect(to);
+    }
+
+    void begin(exchange_id exchange, std::string request, exchange_sink& sink)
+    {
+        exchange_ = exchange;
+        sink_ = &sink;
+        written_ = false;
+        reader_.emplace(pool_.options_.answers);
+        head_told_ = false;
+        skipping_ = false;
+        in_.clear();
+        write(request);
+    }
+
+    void abandon()
+    {
+        sink_ = nullptr;
+        close();
+    }
+
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] exchange_id exchange() const { return exchange_; }
+    [[nodiscard]] bool connected() const { return connected_; }
+    [[nodiscard]] instant opened() const { return opened_; }
+    [[nodiscard]] instant usable_until() const { return usable_until_; }
+    [[nodiscard]] bool usable(instant now) const { return is_open() && now < usable_until_; }
+
+    void fail(const std::string& detail)
+    {
+        close();
+        exchange_sink* sink = std::exchange(sink_, nullptr);
+        pool_.drop(*this);
+        if (sink != nullptr) {
+            sink->request_failed(written_, detail);
+        }
+    }
+
+protected:
+    void on_connected() override { connected_ = true; }
+
+    void on_sent() override
+    {
+        if (sink_ != nullptr && !written_) {
+            written_ = true;
+            sink_->request_written();
+        }
+    }
+
+    void on_bytes(std::string_view bytes) override
+    {
+        if (sink_ == nullptr) {
+            // Nothing was asked: bytes on an idle connection belong to no request.
+            fail("unexpected bytes");
+            return;
+        }
+        in_.append(bytes);
+        read_answers();
+    }
+
+    void on_closed(bool reset) override
+    {
+        if (sink_ != nullptr && !reset && reader_->end_of_connection() && head_told_ && !skipping_) {
+            pool_.drop(*this);
+            exchange_sink* sink = std::exchange(sink_, nullptr);
+            sink->answer_complete();
+            return;
+        }
+        fail(!connected_ ? "connect failed" : reset ? "connection reset" : "connection closed");
+    }
+
+private:
+    void read_answers()
+    {
+        while (sink_ != nullptr) {
+            const read_progress progress = reader_->read(in_);
+            if (progress != read_progress::more && progress != read_progress::complete) {
+                fail("answer is not HTTP or too large");
+                return;
+            }
+            if (reader_->head_done() && !head_told_) {
+                head_told_ = true;
+                note_idle_time();
+                skipping_ = !sink_->answer_head(reader_->status(), reader_->fields());
+            }
+            if (sink_ == nullptr) {
+                return;
+            }
+            pass_body();
+            if (sink_ == nullptr || progress == read_progress::more) {
+                return;
+            }
+            if (!skipping_) {
+                complete();
+                return;
+            }
+            reader_.emplace(pool_.options_.answers);
+            head_told_ = false;
+            skipping_ = false;
+            if (in_.empty()) {
+                return;
+            }
+        }
+    }
+
+    void pass_body()
+    {
+        const std::string body = reader_->take_body();
+        if (!body.empty() && !skipping_) {
+            sink_->answer_body(body);
+        }
+    }
+
+    void complete()
+    {
+        const bool reusable = in_.empty() && reader_->keep_alive() && unsent() == 0;
+        exchange_sink* sink = std::exchange(sink_, nullptr);
+        if (reusable) {
+            pool_.release(*this);
+        } else {
+            close();
+            pool_.drop(*this);
+        }
+        sink->answer_complete();
+    }
+
+    void note_idle_time()
+    {
+        const auto stated = stated_timeout(reader_->fields());
+        const duration keep = stated ? std::max(duration{}, duration(*stated) - pool_.options_.idle_margin)
+                                     : pool_.options_.idle_most;
+        idle_time_ = keep;
+    }
+
+    friend class server_pool;
+
+    server_pool& pool_;
+    std::string address_;
+    exchange_id exchange_ = 0;
+    exchange_sink* sink_ = nullptr;
+    std::optional<answer_reader> reader_;
+    std::string in_;
+    bool connected_ = false;
+    bool written_ = false;
+    bool head_told_ = false;
+    bool skipping_ = false;
+    duration idle_time_{};
+    instant opened_{};
+    instant usable_until_{};
+};
+
+server_pool::server_pool(ACE_Reactor& reactor, server_pool_options options) : reactor_(reactor), options_(options) {}
+
+server_pool::~server_pool() = default;
+
+exchange_id server_pool::start(const std::string& address, std::string request, exchange_sink& sink, instant now)
+{
+    now_ = now;
+    const exchange_id exchange = ++last_exchange_;
+    std::vector<connection*>& idle = idle_[address];
+    while (!idle.empty()) {
+        connection* kept = idle.back();
+        idle.pop_back();
+        if (kept->usable(now)) {
+            busy_.emplace(exchange, kept);
+            kept->begin(exchange, std::move(request), sink);
+            return exchange;
+        }
+        kept->close();
+        drop(*kept);
+    }
+    auto fresh = std::make_unique<connection>(reactor_, *this, address);
+    connection& added = *fresh;
+    connections_.emplace(&added, std::move(fresh));
+    busy_.emplace(exchange, &added);
+    connects_ += 1;
+    const auto parsed = io::parse_address(address);
+    const bool opened = parsed && added.open(*parsed, now);
+    added.begin(exchange, std::move(request), sink);
+    if (!opened) {
+        // The tick reports the failure: a sink isn't called from within start().
+        added.close();
+    }
+    return exchange;
+}
+
+void server_pool::cancel(exchange_id exchange)
+{
+    const auto found = busy_.find(exchange);
+    if (found != busy_.end()) {
+        connection& given_up = *found->second;
+        given_up.abandon();
+        drop(given_up);
+    }
+}
+
+void server_pool::release(connection& idle)
+{
+    busy_.erase(idle.exchange());
+    now_ = io::monotonic_now();
+    idle.usable_until_ = now_ + idle.idle_time_;
+    std::vector<connection*>& kept = idle_[idle.address()];
+    if (kept.size() >= options_.idle_connections_most || idle.idle_time_ <= duration{}) {
+        idle.close();
+        drop(idle);
+        return;
+    }
+    kept.push_back(&idle);
+}
+
+void server_pool::drop(connection& closed)
+{
+    busy_.erase(closed.exchange());
+    const auto kept = idle_.find(closed.address());
+    if (kept != idle_.end()) {
+        std::erase(kept->second, &closed);
+    }
+    const auto found = connections_.find(&closed);
+    if (found != connections_.end()) {
+        closed_.push_back(std::move(found->second));
+        connections_.erase(found);
+    }
+}
+
+void server_pool::on_tick(instant now)
+{
+    now_ = now;
+    std::vector<connection*> overdue;
+    for (const auto& [exchange, busy] : busy_) {
+        if (!busy->is_open() || (!busy->connected() && now - busy->opened() > options_.connect_timeout)) {
+            overdue.push_back(busy);
+        }
+    }
+    for (connection* late : overdue) {
+        late->fail("connect timed out");
+    }
+    std::vector<connection*> stale;
+    for (const auto& [address, idle] : idle_) {
+        for (connection* kept : idle) {
+            if (!kept->usable(now)) {
+                stale.push_back(kept);
+            }
+        }
+    }
+    for (connection* old : stale) {
+        old->close();
+        drop(*old);
+    }
+    closed_.clear();
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -0,0 +1,137 @@
+#include "currantspar/gateway/store_watch.hpp"
+
+#include <algorithm>
+
+#include "currantspar/io/clock.hpp"
+
+namespace currantspar::gateway {
+
+store_watch::store_watch(server_pool& pool, const wire_protocol& wire, std::string store, shared_topic topic,
+                         store_watch_options options, store_watch_handlers handlers)
+    : pool_(pool), wire_(wire), store_(std::move(store)), topic_(topic), options_(options),
+      handlers_(std::move(handlers))
+{}
+
+store_watch::~store_watch()
+{
+    pool_.cancel(exchange_);
+}
+
+void store_watch::on_tick(instant now)
+{
+    if (exchange_ == 0) {
+        if (now >= due_) {
+            begin(now);
+        }
+        return;
+    }
+    const duration held = listing_ ? duration{} : options_.wait;
+    if (now - begun_ > held + options_.answer_timeout) {
+        pool_.cancel(std::exchange(exchange_, 0));
+        failed("no answer", now);
+    }
+}
+
+void store_watch::begin(instant now)
+{
+    answer_ = {};
+    begun_ = now;
+    const std::string request = listing_ ? wire_.encode_newest(topic_, after_key_)
+                                         : wire_.encode_read(topic_, next_, options_.wait);
+    exchange_ = pool_.start(store_, request, *this, now);
+}
+
+bool store_watch::answer_head(int status, const http_fields& fields)
+{
+    answer_.status = status;
+    answer_.fields = fields;
+    return true;
+}
+
+void store_watch::answer_body(std::string_view bytes)
+{
+    answer_.body.append(bytes);
+}
+
+void store_watch::answer_complete()
+{
+    exchange_ = 0;
+    const instant now = io::monotonic_now();
+    if (listing_) {
+        take_newest(now);
+    } else {
+        take_records(now);
+    }
+}
+
+void store_watch::request_failed(bool, const std::string& detail)
+{
+    exchange_ = 0;
+    failed(detail, io::monotonic_now());
+}
+
+void store_watch::take_newest(instant now)
+{
+    auto page = wire_.decode_newest(answer_);
+    if (!page) {
+        failed(page.error().message, now);
+        return;
+    }
+    if (after_key_.empty()) {
+        pages_.clear();
+        next_ = page->end;
+    }
+    pages_.insert(pages_.end(), page->records.begin(), page->records.end());
+    succeeded(now);
+    if (page->more && !page->records.empty()) {
+        after_key_ = page->records.back().key;
+        due_ = now;
+        return;
+    }
+    after_key_.clear();
+    listing_ = false;
+    due_ = now + options_.period;
+    handlers_.listed(std::exchange(pages_, {}), now);
+}
+
+void store_watch::take_records(instant now)
+{
+    const auto batch = wire_.decode_read(answer_, next_);
+    if (!batch) {
+        failed(batch.error().message, now);
+        return;
+    }
+    succeeded(now);
+    if (batch->compacted) {
+        listing_ = true;
+        after_key_.clear();
+        due_ = now;
+        return;
+    }
+    next_ = batch->next;
+    due_ = now + options_.period;
+    if (!batch->records.empty()) {
+        handlers_.changed(batch->records, now);
+    }
+}
+
+void store_watch::succeeded(instant now)
+{
+    failures_ = 0;
+    if (!std::exchange(in_touch_, true)) {
+        ever_in_touch_ = true;
+        handlers_.back(now);
+    }
+}
+
+void store_watch::failed(const std::string& reason, instant now)
+{
+    const duration pause = options_.retry_first * (1U << std::min(failures_, 4U));
+    due_ = now + std::min(pause, options_.retry_most);
+    failures_ += 1;
+    if (std::exchange(in_touch_, false) || failures_ == 1) {
+        handlers_.lost(reason, now);
+    }
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -0,0 +1,187 @@
+#include "currantspar/gateway/tcp_connection.hpp"
+
+#include <array>
+#include <cerrno>
+
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Connector.h>
+#include <netinet/tcp.h>
+
+namespace currantspar::gateway {
+
+namespace {
+
+constexpr std::size_t read_bytes = 65536;
+/// A connection whose other end has vanished is given up after about this long.
+constexpr int user_timeout_ms = 2500;
+constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+
+template <typename Value>
+void set_option(ACE_SOCK_Stream& stream, int level, int name, Value value)
+{
+    // An option that isn't known here only costs a later notice of a dead peer.
+    static_cast<void>(stream.set_option(level, name, &value, sizeof value));
+}
+
+} // namespace
+
+tcp_connection::tcp_connection(ACE_Reactor& reactor) : reactor_(reactor) {}
+
+tcp_connection::~tcp_connection()
+{
+    close();
+}
+
+void tcp_connection::set_options()
+{
+    set_option(stream_, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(stream_, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(stream_, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(stream_, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(stream_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_option(stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+bool tcp_connection::adopt(ACE_SOCK_Stream& accepted)
+{
+    stream_.set_handle(accepted.get_handle());
+    accepted.set_handle(ACE_INVALID_HANDLE);
+    stream_.enable(ACE_NONBLOCK);
+    set_options();
+    return reactor_.register_handler(this, ACE_Event_Handler::READ_MASK) == 0;
+}
+
+bool tcp_connection::connect(const io::socket_address& address)
+{
+    ACE_SOCK_Connector connector;
+    const ACE_INET_Addr remote(address.port, address.host.c_str());
+    ACE_Time_Value at_once = ACE_Time_Value::zero;
+    const int done = connector.connect(stream_, remote, &at_once);
+    if (done != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS && errno != ETIME) {
+        stream_.close();
+        return false;
+    }
+    stream_.enable(ACE_NONBLOCK);
+    set_options();
+    connecting_ = true;
+    wants_output_ = true;
+    return reactor_.register_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK) == 0;
+}
+
+void tcp_connection::write(std::string_view bytes)
+{
+    out_.append(bytes);
+    if (!connecting_ && is_open()) {
+        flush();
+    }
+}
+
+bool tcp_connection::flush()
+{
+    bool sent_any = false;
+    while (out_sent_ < out_.size()) {
+        const ssize_t sent = ::send(stream_.get_handle(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
+        if (sent < 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            if (errno != EAGAIN && errno != EWOULDBLOCK) {
+                // The reading side learns of it, so that what the peer sent before isn't lost.
+                out_.clear();
+                out_sent_ = 0;
+                break;
+            }
+            break;
+        }
+        sent_any = true;
+        out_sent_ += static_cast<std::size_t>(sent);
+    }
+    if (out_sent_ == out_.size()) {
+        out_.clear();
+        out_sent_ = 0;
+    }
+    want_output(!out_.empty());
+    if (sent_any) {
+        on_sent();
+    }
+    return is_open();
+}
+
+void tcp_connection::want_output(bool wanted)
+{
+    if (wanted == wants_output_ || !is_open()) {
+        return;
+    }
+    wants_output_ = wanted;
+    if (wanted) {
+        reactor_.schedule_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+    } else {
+        reactor_.cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+    }
+}
+
+void tcp_connection::close(bool reset)
+{
+    if (!is_open()) {
+        return;
+    }
+    reactor_.remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    if (reset) {
+        set_option(stream_, SOL_SOCKET, SO_LINGER, linger{1, 0});
+    }
+    stream_.close();
+}
+
+void tcp_connection::broke(bool reset)
+{
+    close();
+    on_closed(reset);
+}
+
+int tcp_connection::handle_input(ACE_HANDLE)
+{
+    static std::array<char, read_bytes> buffer;
+    while (is_open()) {
+        const ssize_t got = ::recv(stream_.get_handle(), buffer.data(), buffer.size(), 0);
+        if (got > 0) {
+            on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+            if (static_cast<std::size_t>(got) < buffer.size()) {
+                break;
+            }
+            continue;
+        }
+        if (got < 0 && errno == EINTR) {
+            continue;
+        }
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        broke(got < 0);
+        break;
+    }
+    return 0;
+}
+
+int tcp_connection::handle_output(ACE_HANDLE)
+{
+    if (connecting_) {
+        int problem = 0;
+        int size = sizeof problem;
+        if (stream_.get_option(SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0) {
+            broke(true);
+            return 0;
+        }
+        connecting_ = false;
+        on_connected();
+        if (!is_open()) {
+            return 0;
+        }
+    }
+    flush();
+    return 0;
+}
+
+} // namespace currantspar::gateway
--- a/src/currantspar/platform/address.cpp
+++ b/src/currantspar/io/address.cpp
@@ -1,10 +1,10 @@
-#include "currantspar/platform/address.hpp"
+#include "currantspar/io/address.hpp"
 
 #include <charconv>
 
 #include <arpa/inet.h>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 result<socket_address> parse_address(const std::string& text)
 {
@@ -35,4 +35,4 @@
     return native;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/admin_server.cpp
+++ b/src/currantspar/io/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/admin_server.hpp"
+#include "currantspar/io/admin_server.hpp"
 
 #include <string_view>
 #include <utility>
@@ -6,9 +6,9 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 
-#include "currantspar/platform/address.hpp"
+#include "currantspar/io/address.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -125,4 +125,4 @@
     return server_->port();
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/answer_pipe.cpp
+++ b/src/currantspar/io/answer_pipe.cpp
@@ -1,10 +1,10 @@
-#include "currantspar/platform/answer_pipe.hpp"
+#include "currantspar/io/answer_pipe.hpp"
 
 #include <algorithm>
 #include <cstring>
 #include <utility>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 answer_pipe::answer_pipe(http_head head, std::size_t limit) : head_(std::move(head)), limit_(limit) {}
 
@@ -77,4 +77,4 @@
     on_data_ = std::move(callback);
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/caller_front.cpp
+++ b/src/currantspar/io/caller_front.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/caller_front.hpp"
+#include "currantspar/io/caller_front.hpp"
 
 #include <atomic>
 #include <mutex>
@@ -9,13 +9,13 @@
 
 #include "connection_watch.hpp"
 #include "currantspar/base/hash.hpp"
-#include "currantspar/platform/address.hpp"
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/address.hpp"
+#include "currantspar/io/clock.hpp"
 #include "currantspar/policy/prompt.hpp"
 #include "exchange.hpp"
 #include "front_routes.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -409,4 +409,4 @@
     return front;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/clock.cpp
+++ b/src/currantspar/io/clock.cpp
@@ -1,8 +1,8 @@
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
 #include <chrono>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 instant monotonic_now()
 {
@@ -15,4 +15,4 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/connection_watch.cpp
+++ b/src/currantspar/io/connection_watch.cpp
@@ -7,9 +7,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -89,4 +89,4 @@
     ::shutdown(connection.socket, SHUT_RDWR);
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/connection_watch.hpp
+++ b/src/currantspar/io/connection_watch.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_CONNECTION_WATCH_HPP
-#define CURRANTSPAR_PLATFORM_CONNECTION_WATCH_HPP
+#ifndef CURRANTSPAR_IO_CONNECTION_WATCH_HPP
+#define CURRANTSPAR_IO_CONNECTION_WATCH_HPP
 
 #include <mutex>
 #include <unordered_set>
@@ -8,7 +8,7 @@
 
 #include "currantspar/base/time.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// What a caller's connection is waiting for.
 enum class connection_phase
@@ -51,6 +51,6 @@
     std::unordered_set<connection_state*> connections_;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/engine_control.cpp
+++ b/src/currantspar/io/engine_control.cpp
@@ -1,8 +1,8 @@
-#include "currantspar/platform/engine_control.hpp"
+#include "currantspar/io/engine_control.hpp"
 
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -113,4 +113,4 @@
     return std::make_unique<http_engine_control>(client, options, std::move(sink));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/engine_streams.cpp
+++ b/src/currantspar/io/engine_streams.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/engine_streams.hpp"
+#include "currantspar/io/engine_streams.hpp"
 
 #include <mutex>
 #include <unordered_map>
@@ -7,7 +7,7 @@
 #include "sse_parser.hpp"
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -297,4 +297,4 @@
     return std::make_unique<http_engine_streams>(client, std::move(sink));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/engine_streams_test.cpp
+++ b/src/currantspar/io/engine_streams_test.cpp
@@ -1,15 +1,15 @@
-#include "currantspar/platform/engine_streams.hpp"
+#include "currantspar/io/engine_streams.hpp"
 
 #include <future>
 
 #include <boost/test/unit_test.hpp>
 
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 
 namespace {
 
 using namespace currantspar;
-using namespace currantspar::platform;
+using namespace currantspar::io;
 
 BOOST_AUTO_TEST_SUITE(engine_streams_to_engines)
 
--- a/src/currantspar/platform/exchange.cpp
+++ b/src/currantspar/io/exchange.cpp
@@ -8,7 +8,7 @@
 
 #include <poll.h>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -337,4 +337,4 @@
     return false;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/exchange.hpp
+++ b/src/currantspar/io/exchange.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_EXCHANGE_HPP
-#define CURRANTSPAR_PLATFORM_EXCHANGE_HPP
+#ifndef CURRANTSPAR_IO_EXCHANGE_HPP
+#define CURRANTSPAR_IO_EXCHANGE_HPP
 
 #include <memory>
 #include <mutex>
@@ -9,12 +9,12 @@
 
 #include <microhttpd.h>
 
-#include "currantspar/platform/answer_pipe.hpp"
-#include "currantspar/platform/engine_streams.hpp"
-#include "currantspar/platform/service_client.hpp"
+#include "currantspar/io/answer_pipe.hpp"
+#include "currantspar/io/engine_streams.hpp"
+#include "currantspar/io/service_client.hpp"
 #include "openai.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// One request of a caller and its answer. The server's thread takes the answer out, any other thread puts it
 /// in; the connection is suspended while there is nothing to take. Thread safe but for the members that are
@@ -98,6 +98,6 @@
     std::shared_ptr<answer_pipe> pipe_;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/front_routes.cpp
+++ b/src/currantspar/io/front_routes.cpp
@@ -8,7 +8,7 @@
 
 #include "currantspar/base/hash.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -247,4 +247,4 @@
     return arrived;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/front_routes.hpp
+++ b/src/currantspar/io/front_routes.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_FRONT_ROUTES_HPP
-#define CURRANTSPAR_PLATFORM_FRONT_ROUTES_HPP
+#ifndef CURRANTSPAR_IO_FRONT_ROUTES_HPP
+#define CURRANTSPAR_IO_FRONT_ROUTES_HPP
 
 #include <optional>
 #include <string>
@@ -10,10 +10,10 @@
 
 #include "currantspar/config/fleet.hpp"
 #include "currantspar/core/request_events.hpp"
-#include "currantspar/platform/service_client.hpp"
+#include "currantspar/io/service_client.hpp"
 #include "openai.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// What a caller asks for, by method and path.
 enum class route_kind
@@ -56,6 +56,6 @@
 /// A header of the request, or an empty text. Thread safe.
 [[nodiscard]] std::string request_header(MHD_Connection* connection, const char* name);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/http_client.cpp
+++ b/src/currantspar/io/http_client.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
 #include <array>
 #include <atomic>
@@ -12,10 +12,10 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 #include "http_transfer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -298,4 +298,4 @@
     loop_->resume(id);
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/http_client_test.cpp
+++ b/src/currantspar/io/http_client_test.cpp
@@ -1,14 +1,14 @@
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
 #include <future>
 
 #include <boost/test/unit_test.hpp>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 #include "test_socket.hpp"
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -152,4 +152,4 @@
 
 } // namespace
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/http_transfer.cpp
+++ b/src/currantspar/io/http_transfer.cpp
@@ -4,9 +4,9 @@
 #include <cctype>
 #include <charconv>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -274,4 +274,4 @@
     handler_->on_end(end);
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/http_transfer.hpp
+++ b/src/currantspar/io/http_transfer.hpp
@@ -1,13 +1,13 @@
-#ifndef CURRANTSPAR_PLATFORM_HTTP_TRANSFER_HPP
-#define CURRANTSPAR_PLATFORM_HTTP_TRANSFER_HPP
+#ifndef CURRANTSPAR_IO_HTTP_TRANSFER_HPP
+#define CURRANTSPAR_IO_HTTP_TRANSFER_HPP
 
 #include <memory>
 
 #include <curl/curl.h>
 
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// One request on its way. It lives on the client's thread.
 class http_transfer
@@ -59,6 +59,6 @@
     curl_off_t uploaded_ = 0;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/log.cpp
+++ b/src/currantspar/io/log.cpp
@@ -1,18 +1,20 @@
-#include "currantspar/platform/log.hpp"
+#include "currantspar/io/log.hpp"
 
 #include <array>
+#include <atomic>
 #include <map>
 #include <mutex>
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include "currantspar/base/json.hpp"
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
 // The library keeps its state in this process-wide storage.
 INITIALIZE_EASYLOGGINGPP // NOLINT
 
-    namespace currantspar::platform
+    namespace currantspar::io
 {
 
     namespace {
@@ -115,25 +117,31 @@
         std::map<std::string, repeat_count> counts_;
     };
 
-    /// Writes the library's lines to standard error, which leaves standard output to the commands' answers.
-    class standard_error : public el::LogDispatchCallback
+    std::atomic<int> target_descriptor = STDERR_FILENO;
+    std::atomic<std::uint64_t> lost_lines = 0;
+
+    /// Writes the library's lines to the log's target. A line that the target doesn't take at once is lost.
+    class line_writer : public el::LogDispatchCallback
     {
     protected:
         void handle(const el::LogDispatchData* data) override
         {
             const std::lock_guard lock(mutex_);
             const std::string line = data->logMessage()->message() + "\n";
-            std::fwrite(line.data(), 1, line.size(), stderr);
+            const ssize_t written = ::write(target_descriptor, line.data(), line.size());
+            if (written != static_cast<ssize_t>(line.size())) {
+                lost_lines += 1;
+            }
         }
 
     private:
         std::mutex mutex_;
     };
 
-    void install_standard_error()
+    void install_line_writer()
     {
         static const bool once = [] {
-            el::Helpers::installLogDispatchCallback<standard_error>("standard_error");
+            el::Helpers::installLogDispatchCallback<line_writer>("line_writer");
             log_settings::instance().configure("info", config::log_format::key_value);
             return true;
         }();
@@ -142,15 +150,16 @@
 
     } // namespace
 
-    void configure_log(const std::string& level, config::log_format format)
+    void configure_log(const std::string& level, config::log_format format, log_target target)
     {
-        install_standard_error();
+        target_descriptor = target == log_target::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+        install_line_writer();
         log_settings::instance().configure(level, format);
     }
 
     void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields)
     {
-        install_standard_error();
+        install_line_writer();
         const std::string line = log_settings::instance().line(level, event, fields);
         if (line.empty()) {
             return;
@@ -171,4 +180,4 @@
         }
     }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/log_client.cpp
+++ b/src/currantspar/io/log_client.cpp
@@ -1,8 +1,8 @@
-#include "currantspar/platform/log_client.hpp"
+#include "currantspar/io/log_client.hpp"
 
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -109,4 +109,4 @@
     return std::make_unique<http_log_client>(client, std::move(options), std::move(sink));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/openai.cpp
+++ b/src/currantspar/io/openai.cpp
@@ -5,7 +5,7 @@
 
 #include "currantspar/base/json.hpp"
 
-namespace currantspar::platform::openai {
+namespace currantspar::io::openai {
 
 namespace {
 
@@ -260,4 +260,4 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
-} // namespace currantspar::platform::openai
+} // namespace currantspar::io::openai
--- a/src/currantspar/platform/openai.hpp
+++ b/src/currantspar/io/openai.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_OPENAI_HPP
-#define CURRANTSPAR_PLATFORM_OPENAI_HPP
+#ifndef CURRANTSPAR_IO_OPENAI_HPP
+#define CURRANTSPAR_IO_OPENAI_HPP
 
 #include <cstdint>
 #include <string>
@@ -11,7 +11,7 @@
 #include "currantspar/config/fleet.hpp"
 #include "currantspar/core/effect.hpp"
 
-namespace currantspar::platform::openai {
+namespace currantspar::io::openai {
 
 /// An error as callers see it.
 struct api_error
@@ -71,6 +71,6 @@
 /// `answered`, `not_run` or `unknown`. Thread safe.
 [[nodiscard]] std::string_view outcome_name(core::request_outcome outcome);
 
-} // namespace currantspar::platform::openai
+} // namespace currantspar::io::openai
 
 #endif
--- a/src/currantspar/platform/peer.capnp.c++
+++ b/src/currantspar/io/peer.capnp.c++
@@ -1776,7 +1776,7 @@
 // =======================================================================================
 
 namespace currantspar {
-namespace platform {
+namespace io {
 namespace wire {
 
 // Summary
@@ -1900,9 +1900,9 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-::capnp::Request< ::currantspar::platform::wire::Peer::DeliverParams,  ::currantspar::platform::wire::Peer::DeliverResults>
+::capnp::Request< ::currantspar::io::wire::Peer::DeliverParams,  ::currantspar::io::wire::Peer::DeliverResults>
 Peer::Client::deliverRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::currantspar::platform::wire::Peer::DeliverParams,  ::currantspar::platform::wire::Peer::DeliverResults>(
+  return newCall< ::currantspar::io::wire::Peer::DeliverParams,  ::currantspar::io::wire::Peer::DeliverResults>(
       0xdeb7e626edc426aeull, 0, sizeHint);
 }
 ::kj::Promise<void> Peer::Server::deliver(DeliverContext) {
@@ -1927,7 +1927,7 @@
     case 0:
       return {
         deliver(::capnp::Capability::Server::internalGetTypedContext<
-             ::currantspar::platform::wire::Peer::DeliverParams,  ::currantspar::platform::wire::Peer::DeliverResults>(context)),
+             ::currantspar::io::wire::Peer::DeliverParams,  ::currantspar::io::wire::Peer::DeliverResults>(context)),
         false
       };
     default:
