--- a/src/currantspar/platform/peer.capnp.h
+++ b/src/currantspar/io/peer.capnp.h
@@ -42,7 +42,7 @@
 }  // namespace capnp
 
 namespace currantspar {
-namespace platform {
+namespace io {
 namespace wire {
 
 struct Summary {
@@ -470,7 +470,7 @@
   inline  ::capnp::Text::Reader getTarget() const;
 
   inline bool hasSender() const;
-  inline  ::currantspar::platform::wire::Summary::Reader getSender() const;
+  inline  ::currantspar::io::wire::Summary::Reader getSender() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -511,11 +511,11 @@
   inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
   inline bool hasSender();
-  inline  ::currantspar::platform::wire::Summary::Builder getSender();
-  inline void setSender( ::currantspar::platform::wire::Summary::Reader value);
-  inline  ::currantspar::platform::wire::Summary::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::currantspar::platform::wire::Summary>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Summary> disownSender();
+  inline  ::currantspar::io::wire::Summary::Builder getSender();
+  inline void setSender( ::currantspar::io::wire::Summary::Reader value);
+  inline  ::currantspar::io::wire::Summary::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::currantspar::io::wire::Summary>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Summary> disownSender();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -535,7 +535,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Summary::Pipeline getSender();
+  inline  ::currantspar::io::wire::Summary::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -569,7 +569,7 @@
   inline bool getAlive() const;
 
   inline bool hasSender() const;
-  inline  ::currantspar::platform::wire::Summary::Reader getSender() const;
+  inline  ::currantspar::io::wire::Summary::Reader getSender() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -613,11 +613,11 @@
   inline void setAlive(bool value);
 
   inline bool hasSender();
-  inline  ::currantspar::platform::wire::Summary::Builder getSender();
-  inline void setSender( ::currantspar::platform::wire::Summary::Reader value);
-  inline  ::currantspar::platform::wire::Summary::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::currantspar::platform::wire::Summary>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Summary> disownSender();
+  inline  ::currantspar::io::wire::Summary::Builder getSender();
+  inline void setSender( ::currantspar::io::wire::Summary::Reader value);
+  inline  ::currantspar::io::wire::Summary::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::currantspar::io::wire::Summary>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Summary> disownSender();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -637,7 +637,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Summary::Pipeline getSender();
+  inline  ::currantspar::io::wire::Summary::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -755,7 +755,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool() const;
-  inline  ::currantspar::platform::wire::Pool::Reader getPool() const;
+  inline  ::currantspar::io::wire::Pool::Reader getPool() const;
 
   inline  ::uint64_t getFence() const;
 
@@ -795,11 +795,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool();
-  inline  ::currantspar::platform::wire::Pool::Builder getPool();
-  inline void setPool( ::currantspar::platform::wire::Pool::Reader value);
-  inline  ::currantspar::platform::wire::Pool::Builder initPool();
-  inline void adoptPool(::capnp::Orphan< ::currantspar::platform::wire::Pool>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Pool> disownPool();
+  inline  ::currantspar::io::wire::Pool::Builder getPool();
+  inline void setPool( ::currantspar::io::wire::Pool::Reader value);
+  inline  ::currantspar::io::wire::Pool::Builder initPool();
+  inline void adoptPool(::capnp::Orphan< ::currantspar::io::wire::Pool>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Pool> disownPool();
 
   inline  ::uint64_t getFence();
   inline void setFence( ::uint64_t value);
@@ -836,7 +836,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Pool::Pipeline getPool();
+  inline  ::currantspar::io::wire::Pool::Pipeline getPool();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -863,7 +863,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool() const;
-  inline  ::currantspar::platform::wire::Pool::Reader getPool() const;
+  inline  ::currantspar::io::wire::Pool::Reader getPool() const;
 
   inline  ::uint64_t getFence() const;
 
@@ -898,11 +898,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool();
-  inline  ::currantspar::platform::wire::Pool::Builder getPool();
-  inline void setPool( ::currantspar::platform::wire::Pool::Reader value);
-  inline  ::currantspar::platform::wire::Pool::Builder initPool();
-  inline void adoptPool(::capnp::Orphan< ::currantspar::platform::wire::Pool>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Pool> disownPool();
+  inline  ::currantspar::io::wire::Pool::Builder getPool();
+  inline void setPool( ::currantspar::io::wire::Pool::Reader value);
+  inline  ::currantspar::io::wire::Pool::Builder initPool();
+  inline void adoptPool(::capnp::Orphan< ::currantspar::io::wire::Pool>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Pool> disownPool();
 
   inline  ::uint64_t getFence();
   inline void setFence( ::uint64_t value);
@@ -928,7 +928,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Pool::Pipeline getPool();
+  inline  ::currantspar::io::wire::Pool::Pipeline getPool();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1065,7 +1065,7 @@
   inline  ::uint8_t getRole() const;
 
   inline bool hasLoad() const;
-  inline  ::currantspar::platform::wire::Load::Reader getLoad() const;
+  inline  ::currantspar::io::wire::Load::Reader getLoad() const;
 
   inline  ::uint32_t getRunning() const;
 
@@ -1128,11 +1128,11 @@
   inline void setRole( ::uint8_t value);
 
   inline bool hasLoad();
-  inline  ::currantspar::platform::wire::Load::Builder getLoad();
-  inline void setLoad( ::currantspar::platform::wire::Load::Reader value);
-  inline  ::currantspar::platform::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::currantspar::platform::wire::Load>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Load> disownLoad();
+  inline  ::currantspar::io::wire::Load::Builder getLoad();
+  inline void setLoad( ::currantspar::io::wire::Load::Reader value);
+  inline  ::currantspar::io::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::currantspar::io::wire::Load>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Load> disownLoad();
 
   inline  ::uint32_t getRunning();
   inline void setRunning( ::uint32_t value);
@@ -1176,7 +1176,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Load::Pipeline getLoad();
+  inline  ::currantspar::io::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1599,22 +1599,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReports() const;
-  inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+  inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
   inline bool hasNode() const;
   inline  ::capnp::Text::Reader getNode() const;
 
   inline bool hasEngines() const;
-  inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
+  inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
 
   inline bool hasOrganisations() const;
-  inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Reader getOrganisations() const;
+  inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Reader getOrganisations() const;
 
   inline bool hasCacheEvents() const;
-  inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader getCacheEvents() const;
+  inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader getCacheEvents() const;
 
   inline bool hasServices() const;
-  inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Reader getServices() const;
+  inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
   inline bool getPartial() const;
 
@@ -1647,11 +1647,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReports();
-  inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>> disownReports();
+  inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>> disownReports();
 
   inline bool hasNode();
   inline  ::capnp::Text::Builder getNode();
@@ -1661,32 +1661,32 @@
   inline ::capnp::Orphan< ::capnp::Text> disownNode();
 
   inline bool hasEngines();
-  inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder getEngines();
-  inline void setEngines( ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
-  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>> disownEngines();
+  inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder getEngines();
+  inline void setEngines( ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
+  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>> disownEngines();
 
   inline bool hasOrganisations();
-  inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Builder getOrganisations();
-  inline void setOrganisations( ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Builder initOrganisations(unsigned int size);
-  inline void adoptOrganisations(::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>> disownOrganisations();
+  inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Builder getOrganisations();
+  inline void setOrganisations( ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Builder initOrganisations(unsigned int size);
+  inline void adoptOrganisations(::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>> disownOrganisations();
 
   inline bool hasCacheEvents();
-  inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder getCacheEvents();
-  inline void setCacheEvents( ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder initCacheEvents(unsigned int size);
-  inline void adoptCacheEvents(::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>> disownCacheEvents();
+  inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder getCacheEvents();
+  inline void setCacheEvents( ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder initCacheEvents(unsigned int size);
+  inline void adoptCacheEvents(::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>> disownCacheEvents();
 
   inline bool hasServices();
-  inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Builder getServices();
-  inline void setServices( ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
-  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>> disownServices();
+  inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>> disownServices();
 
   inline bool getPartial();
   inline void setPartial(bool value);
@@ -1826,34 +1826,34 @@
 
   inline bool isProbe() const;
   inline bool hasProbe() const;
-  inline  ::currantspar::platform::wire::Probe::Reader getProbe() const;
+  inline  ::currantspar::io::wire::Probe::Reader getProbe() const;
 
   inline bool isProbeAnswer() const;
   inline bool hasProbeAnswer() const;
-  inline  ::currantspar::platform::wire::ProbeAnswer::Reader getProbeAnswer() const;
+  inline  ::currantspar::io::wire::ProbeAnswer::Reader getProbeAnswer() const;
 
   inline bool isRoutingView() const;
   inline bool hasRoutingView() const;
-  inline  ::currantspar::platform::wire::RoutingView::Reader getRoutingView() const;
+  inline  ::currantspar::io::wire::RoutingView::Reader getRoutingView() const;
 
   inline bool isRoutingViewAck() const;
   inline bool hasRoutingViewAck() const;
-  inline  ::currantspar::platform::wire::RoutingViewAck::Reader getRoutingViewAck() const;
+  inline  ::currantspar::io::wire::RoutingViewAck::Reader getRoutingViewAck() const;
 
   inline bool isDigest() const;
   inline bool hasDigest() const;
-  inline  ::currantspar::platform::wire::Digest::Reader getDigest() const;
+  inline  ::currantspar::io::wire::Digest::Reader getDigest() const;
 
   inline bool isCheckpointRequest() const;
   inline  ::capnp::Void getCheckpointRequest() const;
 
   inline bool isCheckpointAnswer() const;
   inline bool hasCheckpointAnswer() const;
-  inline  ::currantspar::platform::wire::Records::Reader getCheckpointAnswer() const;
+  inline  ::currantspar::io::wire::Records::Reader getCheckpointAnswer() const;
 
   inline bool isKeyRelay() const;
   inline bool hasKeyRelay() const;
-  inline  ::currantspar::platform::wire::Records::Reader getKeyRelay() const;
+  inline  ::currantspar::io::wire::Records::Reader getKeyRelay() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1899,43 +1899,43 @@
 
   inline bool isProbe();
   inline bool hasProbe();
-  inline  ::currantspar::platform::wire::Probe::Builder getProbe();
-  inline void setProbe( ::currantspar::platform::wire::Probe::Reader value);
-  inline  ::currantspar::platform::wire::Probe::Builder initProbe();
-  inline void adoptProbe(::capnp::Orphan< ::currantspar::platform::wire::Probe>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Probe> disownProbe();
+  inline  ::currantspar::io::wire::Probe::Builder getProbe();
+  inline void setProbe( ::currantspar::io::wire::Probe::Reader value);
+  inline  ::currantspar::io::wire::Probe::Builder initProbe();
+  inline void adoptProbe(::capnp::Orphan< ::currantspar::io::wire::Probe>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Probe> disownProbe();
 
   inline bool isProbeAnswer();
   inline bool hasProbeAnswer();
-  inline  ::currantspar::platform::wire::ProbeAnswer::Builder getProbeAnswer();
-  inline void setProbeAnswer( ::currantspar::platform::wire::ProbeAnswer::Reader value);
-  inline  ::currantspar::platform::wire::ProbeAnswer::Builder initProbeAnswer();
-  inline void adoptProbeAnswer(::capnp::Orphan< ::currantspar::platform::wire::ProbeAnswer>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::ProbeAnswer> disownProbeAnswer();
+  inline  ::currantspar::io::wire::ProbeAnswer::Builder getProbeAnswer();
+  inline void setProbeAnswer( ::currantspar::io::wire::ProbeAnswer::Reader value);
+  inline  ::currantspar::io::wire::ProbeAnswer::Builder initProbeAnswer();
+  inline void adoptProbeAnswer(::capnp::Orphan< ::currantspar::io::wire::ProbeAnswer>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::ProbeAnswer> disownProbeAnswer();
 
   inline bool isRoutingView();
   inline bool hasRoutingView();
-  inline  ::currantspar::platform::wire::RoutingView::Builder getRoutingView();
-  inline void setRoutingView( ::currantspar::platform::wire::RoutingView::Reader value);
-  inline  ::currantspar::platform::wire::RoutingView::Builder initRoutingView();
-  inline void adoptRoutingView(::capnp::Orphan< ::currantspar::platform::wire::RoutingView>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::RoutingView> disownRoutingView();
+  inline  ::currantspar::io::wire::RoutingView::Builder getRoutingView();
+  inline void setRoutingView( ::currantspar::io::wire::RoutingView::Reader value);
+  inline  ::currantspar::io::wire::RoutingView::Builder initRoutingView();
+  inline void adoptRoutingView(::capnp::Orphan< ::currantspar::io::wire::RoutingView>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::RoutingView> disownRoutingView();
 
   inline bool isRoutingViewAck();
   inline bool hasRoutingViewAck();
-  inline  ::currantspar::platform::wire::RoutingViewAck::Builder getRoutingViewAck();
-  inline void setRoutingViewAck( ::currantspar::platform::wire::RoutingViewAck::Reader value);
-  inline  ::currantspar::platform::wire::RoutingViewAck::Builder initRoutingViewAck();
-  inline void adoptRoutingViewAck(::capnp::Orphan< ::currantspar::platform::wire::RoutingViewAck>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::RoutingViewAck> disownRoutingViewAck();
+  inline  ::currantspar::io::wire::RoutingViewAck::Builder getRoutingViewAck();
+  inline void setRoutingViewAck( ::currantspar::io::wire::RoutingViewAck::Reader value);
+  inline  ::currantspar::io::wire::RoutingViewAck::Builder initRoutingViewAck();
+  inline void adoptRoutingViewAck(::capnp::Orphan< ::currantspar::io::wire::RoutingViewAck>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::RoutingViewAck> disownRoutingViewAck();
 
   inline bool isDigest();
   inline bool hasDigest();
-  inline  ::currantspar::platform::wire::Digest::Builder getDigest();
-  inline void setDigest( ::currantspar::platform::wire::Digest::Reader value);
-  inline  ::currantspar::platform::wire::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::currantspar::platform::wire::Digest>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Digest> disownDigest();
+  inline  ::currantspar::io::wire::Digest::Builder getDigest();
+  inline void setDigest( ::currantspar::io::wire::Digest::Reader value);
+  inline  ::currantspar::io::wire::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::currantspar::io::wire::Digest>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Digest> disownDigest();
 
   inline bool isCheckpointRequest();
   inline  ::capnp::Void getCheckpointRequest();
@@ -1943,19 +1943,19 @@
 
   inline bool isCheckpointAnswer();
   inline bool hasCheckpointAnswer();
-  inline  ::currantspar::platform::wire::Records::Builder getCheckpointAnswer();
-  inline void setCheckpointAnswer( ::currantspar::platform::wire::Records::Reader value);
-  inline  ::currantspar::platform::wire::Records::Builder initCheckpointAnswer();
-  inline void adoptCheckpointAnswer(::capnp::Orphan< ::currantspar::platform::wire::Records>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Records> disownCheckpointAnswer();
+  inline  ::currantspar::io::wire::Records::Builder getCheckpointAnswer();
+  inline void setCheckpointAnswer( ::currantspar::io::wire::Records::Reader value);
+  inline  ::currantspar::io::wire::Records::Builder initCheckpointAnswer();
+  inline void adoptCheckpointAnswer(::capnp::Orphan< ::currantspar::io::wire::Records>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Records> disownCheckpointAnswer();
 
   inline bool isKeyRelay();
   inline bool hasKeyRelay();
-  inline  ::currantspar::platform::wire::Records::Builder getKeyRelay();
-  inline void setKeyRelay( ::currantspar::platform::wire::Records::Reader value);
-  inline  ::currantspar::platform::wire::Records::Builder initKeyRelay();
-  inline void adoptKeyRelay(::capnp::Orphan< ::currantspar::platform::wire::Records>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Records> disownKeyRelay();
+  inline  ::currantspar::io::wire::Records::Builder getKeyRelay();
+  inline void setKeyRelay( ::currantspar::io::wire::Records::Reader value);
+  inline  ::currantspar::io::wire::Records::Builder initKeyRelay();
+  inline void adoptKeyRelay(::capnp::Orphan< ::currantspar::io::wire::Records>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Records> disownKeyRelay();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2002,7 +2002,7 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::currantspar::platform::wire::Peer::DeliverParams,  ::currantspar::platform::wire::Peer::DeliverResults> deliverRequest(
+  ::capnp::Request< ::currantspar::io::wire::Peer::DeliverParams,  ::currantspar::io::wire::Peer::DeliverResults> deliverRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -2020,14 +2020,14 @@
       override;
 
 protected:
-  typedef  ::currantspar::platform::wire::Peer::DeliverParams DeliverParams;
-  typedef  ::currantspar::platform::wire::Peer::DeliverResults DeliverResults;
+  typedef  ::currantspar::io::wire::Peer::DeliverParams DeliverParams;
+  typedef  ::currantspar::io::wire::Peer::DeliverResults DeliverResults;
   typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
   virtual ::kj::Promise<void> deliver(DeliverContext context);
 
-  inline  ::currantspar::platform::wire::Peer::Client thisCap() {
+  inline  ::currantspar::io::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::currantspar::platform::wire::Peer>();
+        .template castAs< ::currantspar::io::wire::Peer>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -2054,7 +2054,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline  ::currantspar::platform::wire::Message::Reader getMessage() const;
+  inline  ::currantspar::io::wire::Message::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2085,11 +2085,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline  ::currantspar::platform::wire::Message::Builder getMessage();
-  inline void setMessage( ::currantspar::platform::wire::Message::Reader value);
-  inline  ::currantspar::platform::wire::Message::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::currantspar::platform::wire::Message>&& value);
-  inline ::capnp::Orphan< ::currantspar::platform::wire::Message> disownMessage();
+  inline  ::currantspar::io::wire::Message::Builder getMessage();
+  inline void setMessage( ::currantspar::io::wire::Message::Reader value);
+  inline  ::currantspar::io::wire::Message::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::currantspar::io::wire::Message>&& value);
+  inline ::capnp::Orphan< ::currantspar::io::wire::Message> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2109,7 +2109,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::currantspar::platform::wire::Message::Pipeline getMessage();
+  inline  ::currantspar::io::wire::Message::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2385,34 +2385,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Summary::Reader Probe::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Summary::Reader Probe::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Summary::Builder Probe::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Summary::Builder Probe::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Summary::Pipeline Probe::Pipeline::getSender() {
-  return  ::currantspar::platform::wire::Summary::Pipeline(_typeless.getPointerField(1));
+inline  ::currantspar::io::wire::Summary::Pipeline Probe::Pipeline::getSender() {
+  return  ::currantspar::io::wire::Summary::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Probe::Builder::setSender( ::currantspar::platform::wire::Summary::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::set(_builder.getPointerField(
+inline void Probe::Builder::setSender( ::currantspar::io::wire::Summary::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Summary::Builder Probe::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Summary::Builder Probe::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Probe::Builder::adoptSender(
-    ::capnp::Orphan< ::currantspar::platform::wire::Summary>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Summary>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Summary> Probe::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Summary> Probe::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2486,34 +2486,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Summary::Reader ProbeAnswer::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Summary::Reader ProbeAnswer::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Summary::Builder ProbeAnswer::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Summary::Builder ProbeAnswer::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Summary::Pipeline ProbeAnswer::Pipeline::getSender() {
-  return  ::currantspar::platform::wire::Summary::Pipeline(_typeless.getPointerField(1));
+inline  ::currantspar::io::wire::Summary::Pipeline ProbeAnswer::Pipeline::getSender() {
+  return  ::currantspar::io::wire::Summary::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void ProbeAnswer::Builder::setSender( ::currantspar::platform::wire::Summary::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::set(_builder.getPointerField(
+inline void ProbeAnswer::Builder::setSender( ::currantspar::io::wire::Summary::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Summary::Builder ProbeAnswer::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Summary::Builder ProbeAnswer::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void ProbeAnswer::Builder::adoptSender(
-    ::capnp::Orphan< ::currantspar::platform::wire::Summary>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Summary>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Summary> ProbeAnswer::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Summary>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Summary> ProbeAnswer::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Summary>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2593,34 +2593,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Pool::Reader RoutingView::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Pool::Reader RoutingView::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Pool::Builder RoutingView::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Pool::Builder RoutingView::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Pool::Pipeline RoutingView::Pipeline::getPool() {
-  return  ::currantspar::platform::wire::Pool::Pipeline(_typeless.getPointerField(0));
+inline  ::currantspar::io::wire::Pool::Pipeline RoutingView::Pipeline::getPool() {
+  return  ::currantspar::io::wire::Pool::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RoutingView::Builder::setPool( ::currantspar::platform::wire::Pool::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::set(_builder.getPointerField(
+inline void RoutingView::Builder::setPool( ::currantspar::io::wire::Pool::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Pool::Builder RoutingView::Builder::initPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Pool::Builder RoutingView::Builder::initPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RoutingView::Builder::adoptPool(
-    ::capnp::Orphan< ::currantspar::platform::wire::Pool>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Pool>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Pool> RoutingView::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Pool> RoutingView::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2712,34 +2712,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Pool::Reader RoutingViewAck::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Pool::Reader RoutingViewAck::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Pool::Builder RoutingViewAck::Builder::getPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Pool::Builder RoutingViewAck::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Pool::Pipeline RoutingViewAck::Pipeline::getPool() {
-  return  ::currantspar::platform::wire::Pool::Pipeline(_typeless.getPointerField(0));
+inline  ::currantspar::io::wire::Pool::Pipeline RoutingViewAck::Pipeline::getPool() {
+  return  ::currantspar::io::wire::Pool::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RoutingViewAck::Builder::setPool( ::currantspar::platform::wire::Pool::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::set(_builder.getPointerField(
+inline void RoutingViewAck::Builder::setPool( ::currantspar::io::wire::Pool::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Pool::Builder RoutingViewAck::Builder::initPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Pool::Builder RoutingViewAck::Builder::initPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RoutingViewAck::Builder::adoptPool(
-    ::capnp::Orphan< ::currantspar::platform::wire::Pool>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Pool>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Pool> RoutingViewAck::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Pool>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Pool> RoutingViewAck::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Pool>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2957,34 +2957,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Load::Reader Report::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Load::Reader Report::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Load::Builder Report::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Load::Builder Report::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Load::Pipeline Report::Pipeline::getLoad() {
-  return  ::currantspar::platform::wire::Load::Pipeline(_typeless.getPointerField(1));
+inline  ::currantspar::io::wire::Load::Pipeline Report::Pipeline::getLoad() {
+  return  ::currantspar::io::wire::Load::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Report::Builder::setLoad( ::currantspar::platform::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::set(_builder.getPointerField(
+inline void Report::Builder::setLoad( ::currantspar::io::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Load::Builder Report::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Load::Builder Report::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Report::Builder::adoptLoad(
-    ::capnp::Orphan< ::currantspar::platform::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Load> Report::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Load>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Load> Report::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Load>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -3460,29 +3460,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setReports( ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setReports( ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptReports(
-    ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>> Digest::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>> Digest::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -3528,29 +3528,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getEngines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setEngines( ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setEngines( ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initEngines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptEngines(
-    ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>> Digest::Builder::disownEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::SentWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>> Digest::Builder::disownEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::SentWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -3562,29 +3562,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getOrganisations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getOrganisations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getOrganisations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setOrganisations( ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setOrganisations( ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initOrganisations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initOrganisations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptOrganisations(
-    ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>> Digest::Builder::disownOrganisations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Usage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>> Digest::Builder::disownOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Usage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
@@ -3596,29 +3596,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getCacheEvents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getCacheEvents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getCacheEvents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getCacheEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setCacheEvents( ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setCacheEvents( ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initCacheEvents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initCacheEvents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptCacheEvents(
-    ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>> Digest::Builder::disownCacheEvents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>> Digest::Builder::disownCacheEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::CacheEvents,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
@@ -3630,29 +3630,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getServices() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setServices( ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setServices( ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initServices(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptServices(
-    ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>> Digest::Builder::disownServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::platform::wire::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>> Digest::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::io::wire::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
@@ -3708,11 +3708,11 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::currantspar::platform::wire::Message::Which Message::Reader::which() const {
+inline  ::currantspar::io::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::currantspar::platform::wire::Message::Which Message::Builder::which() {
+inline  ::currantspar::io::wire::Message::Which Message::Builder::which() {
   return _builder.getDataField<Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
@@ -3795,41 +3795,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Probe::Reader Message::Reader::getProbe() const {
+inline  ::currantspar::io::wire::Probe::Reader Message::Reader::getProbe() const {
   KJ_IREQUIRE((which() == Message::PROBE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Probe::Builder Message::Builder::getProbe() {
+inline  ::currantspar::io::wire::Probe::Builder Message::Builder::getProbe() {
   KJ_IREQUIRE((which() == Message::PROBE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setProbe( ::currantspar::platform::wire::Probe::Reader value) {
+inline void Message::Builder::setProbe( ::currantspar::io::wire::Probe::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Probe::Builder Message::Builder::initProbe() {
+inline  ::currantspar::io::wire::Probe::Builder Message::Builder::initProbe() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptProbe(
-    ::capnp::Orphan< ::currantspar::platform::wire::Probe>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::Probe>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Probe> Message::Builder::disownProbe() {
+inline ::capnp::Orphan< ::currantspar::io::wire::Probe> Message::Builder::disownProbe() {
   KJ_IREQUIRE((which() == Message::PROBE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Probe>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Probe>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -3849,41 +3849,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::ProbeAnswer::Reader Message::Reader::getProbeAnswer() const {
+inline  ::currantspar::io::wire::ProbeAnswer::Reader Message::Reader::getProbeAnswer() const {
   KJ_IREQUIRE((which() == Message::PROBE_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::ProbeAnswer::Builder Message::Builder::getProbeAnswer() {
+inline  ::currantspar::io::wire::ProbeAnswer::Builder Message::Builder::getProbeAnswer() {
   KJ_IREQUIRE((which() == Message::PROBE_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setProbeAnswer( ::currantspar::platform::wire::ProbeAnswer::Reader value) {
+inline void Message::Builder::setProbeAnswer( ::currantspar::io::wire::ProbeAnswer::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE_ANSWER);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::ProbeAnswer::Builder Message::Builder::initProbeAnswer() {
+inline  ::currantspar::io::wire::ProbeAnswer::Builder Message::Builder::initProbeAnswer() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE_ANSWER);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptProbeAnswer(
-    ::capnp::Orphan< ::currantspar::platform::wire::ProbeAnswer>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::ProbeAnswer>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::PROBE_ANSWER);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::ProbeAnswer> Message::Builder::disownProbeAnswer() {
+inline ::capnp::Orphan< ::currantspar::io::wire::ProbeAnswer> Message::Builder::disownProbeAnswer() {
   KJ_IREQUIRE((which() == Message::PROBE_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::ProbeAnswer>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::ProbeAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -3903,41 +3903,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::RoutingView::Reader Message::Reader::getRoutingView() const {
+inline  ::currantspar::io::wire::RoutingView::Reader Message::Reader::getRoutingView() const {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::RoutingView::Builder Message::Builder::getRoutingView() {
+inline  ::currantspar::io::wire::RoutingView::Builder Message::Builder::getRoutingView() {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setRoutingView( ::currantspar::platform::wire::RoutingView::Reader value) {
+inline void Message::Builder::setRoutingView( ::currantspar::io::wire::RoutingView::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::RoutingView::Builder Message::Builder::initRoutingView() {
+inline  ::currantspar::io::wire::RoutingView::Builder Message::Builder::initRoutingView() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptRoutingView(
-    ::capnp::Orphan< ::currantspar::platform::wire::RoutingView>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::RoutingView>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::RoutingView> Message::Builder::disownRoutingView() {
+inline ::capnp::Orphan< ::currantspar::io::wire::RoutingView> Message::Builder::disownRoutingView() {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingView>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingView>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -3957,41 +3957,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::RoutingViewAck::Reader Message::Reader::getRoutingViewAck() const {
+inline  ::currantspar::io::wire::RoutingViewAck::Reader Message::Reader::getRoutingViewAck() const {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW_ACK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::RoutingViewAck::Builder Message::Builder::getRoutingViewAck() {
+inline  ::currantspar::io::wire::RoutingViewAck::Builder Message::Builder::getRoutingViewAck() {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW_ACK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setRoutingViewAck( ::currantspar::platform::wire::RoutingViewAck::Reader value) {
+inline void Message::Builder::setRoutingViewAck( ::currantspar::io::wire::RoutingViewAck::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW_ACK);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::RoutingViewAck::Builder Message::Builder::initRoutingViewAck() {
+inline  ::currantspar::io::wire::RoutingViewAck::Builder Message::Builder::initRoutingViewAck() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW_ACK);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptRoutingViewAck(
-    ::capnp::Orphan< ::currantspar::platform::wire::RoutingViewAck>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::RoutingViewAck>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::ROUTING_VIEW_ACK);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::RoutingViewAck> Message::Builder::disownRoutingViewAck() {
+inline ::capnp::Orphan< ::currantspar::io::wire::RoutingViewAck> Message::Builder::disownRoutingViewAck() {
   KJ_IREQUIRE((which() == Message::ROUTING_VIEW_ACK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::RoutingViewAck>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::RoutingViewAck>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4011,41 +4011,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Digest::Reader Message::Reader::getDigest() const {
+inline  ::currantspar::io::wire::Digest::Reader Message::Reader::getDigest() const {
   KJ_IREQUIRE((which() == Message::DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Digest::Builder Message::Builder::getDigest() {
+inline  ::currantspar::io::wire::Digest::Builder Message::Builder::getDigest() {
   KJ_IREQUIRE((which() == Message::DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setDigest( ::currantspar::platform::wire::Digest::Reader value) {
+inline void Message::Builder::setDigest( ::currantspar::io::wire::Digest::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::DIGEST);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Digest::Builder Message::Builder::initDigest() {
+inline  ::currantspar::io::wire::Digest::Builder Message::Builder::initDigest() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::DIGEST);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptDigest(
-    ::capnp::Orphan< ::currantspar::platform::wire::Digest>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::Digest>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::DIGEST);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Digest> Message::Builder::disownDigest() {
+inline ::capnp::Orphan< ::currantspar::io::wire::Digest> Message::Builder::disownDigest() {
   KJ_IREQUIRE((which() == Message::DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Digest>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Digest>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4091,41 +4091,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Records::Reader Message::Reader::getCheckpointAnswer() const {
+inline  ::currantspar::io::wire::Records::Reader Message::Reader::getCheckpointAnswer() const {
   KJ_IREQUIRE((which() == Message::CHECKPOINT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Records::Builder Message::Builder::getCheckpointAnswer() {
+inline  ::currantspar::io::wire::Records::Builder Message::Builder::getCheckpointAnswer() {
   KJ_IREQUIRE((which() == Message::CHECKPOINT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setCheckpointAnswer( ::currantspar::platform::wire::Records::Reader value) {
+inline void Message::Builder::setCheckpointAnswer( ::currantspar::io::wire::Records::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::CHECKPOINT_ANSWER);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Records::Builder Message::Builder::initCheckpointAnswer() {
+inline  ::currantspar::io::wire::Records::Builder Message::Builder::initCheckpointAnswer() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::CHECKPOINT_ANSWER);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptCheckpointAnswer(
-    ::capnp::Orphan< ::currantspar::platform::wire::Records>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::Records>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::CHECKPOINT_ANSWER);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Records> Message::Builder::disownCheckpointAnswer() {
+inline ::capnp::Orphan< ::currantspar::io::wire::Records> Message::Builder::disownCheckpointAnswer() {
   KJ_IREQUIRE((which() == Message::CHECKPOINT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4145,41 +4145,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Records::Reader Message::Reader::getKeyRelay() const {
+inline  ::currantspar::io::wire::Records::Reader Message::Reader::getKeyRelay() const {
   KJ_IREQUIRE((which() == Message::KEY_RELAY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Records::Builder Message::Builder::getKeyRelay() {
+inline  ::currantspar::io::wire::Records::Builder Message::Builder::getKeyRelay() {
   KJ_IREQUIRE((which() == Message::KEY_RELAY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setKeyRelay( ::currantspar::platform::wire::Records::Reader value) {
+inline void Message::Builder::setKeyRelay( ::currantspar::io::wire::Records::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::KEY_RELAY);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Records::Builder Message::Builder::initKeyRelay() {
+inline  ::currantspar::io::wire::Records::Builder Message::Builder::initKeyRelay() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::KEY_RELAY);
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptKeyRelay(
-    ::capnp::Orphan< ::currantspar::platform::wire::Records>&& value) {
+    ::capnp::Orphan< ::currantspar::io::wire::Records>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, Message::KEY_RELAY);
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Records> Message::Builder::disownKeyRelay() {
+inline ::capnp::Orphan< ::currantspar::io::wire::Records> Message::Builder::disownKeyRelay() {
   KJ_IREQUIRE((which() == Message::KEY_RELAY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Records>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Records>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4197,11 +4197,11 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::currantspar::platform::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+inline  ::currantspar::io::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::currantspar::platform::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+inline  ::currantspar::io::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
@@ -4215,34 +4215,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::currantspar::platform::wire::Message::Reader Peer::DeliverParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::get(_reader.getPointerField(
+inline  ::currantspar::io::wire::Message::Reader Peer::DeliverParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::currantspar::platform::wire::Message::Builder Peer::DeliverParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::get(_builder.getPointerField(
+inline  ::currantspar::io::wire::Message::Builder Peer::DeliverParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::currantspar::platform::wire::Message::Pipeline Peer::DeliverParams::Pipeline::getMessage() {
-  return  ::currantspar::platform::wire::Message::Pipeline(_typeless.getPointerField(0));
+inline  ::currantspar::io::wire::Message::Pipeline Peer::DeliverParams::Pipeline::getMessage() {
+  return  ::currantspar::io::wire::Message::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::DeliverParams::Builder::setMessage( ::currantspar::platform::wire::Message::Reader value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::set(_builder.getPointerField(
+inline void Peer::DeliverParams::Builder::setMessage( ::currantspar::io::wire::Message::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::currantspar::platform::wire::Message::Builder Peer::DeliverParams::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::init(_builder.getPointerField(
+inline  ::currantspar::io::wire::Message::Builder Peer::DeliverParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::DeliverParams::Builder::adoptMessage(
-    ::capnp::Orphan< ::currantspar::platform::wire::Message>&& value) {
-  ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::currantspar::io::wire::Message>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::currantspar::platform::wire::Message> Peer::DeliverParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::currantspar::platform::wire::Message>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::currantspar::io::wire::Message> Peer::DeliverParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::currantspar::io::wire::Message>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/currantspar/platform/peer_codec.cpp
+++ b/src/currantspar/io/peer_codec.cpp
@@ -4,7 +4,7 @@
 
 #include <kj/debug.h>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -385,4 +385,4 @@
     return received;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/peer_codec.hpp
+++ b/src/currantspar/io/peer_codec.hpp
@@ -1,12 +1,12 @@
-#ifndef CURRANTSPAR_PLATFORM_PEER_CODEC_HPP
-#define CURRANTSPAR_PLATFORM_PEER_CODEC_HPP
+#ifndef CURRANTSPAR_IO_PEER_CODEC_HPP
+#define CURRANTSPAR_IO_PEER_CODEC_HPP
 
 #include <optional>
 
 #include "currantspar/core/effect.hpp"
 #include "peer.capnp.h"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// Writes a message in the form that travels between nodes. Thread safe.
 void write_message(wire::Message::Builder out, const node_id& from, incarnation process,
@@ -16,6 +16,6 @@
 /// read; throws kj::Exception when the bytes are malformed. Thread safe.
 [[nodiscard]] std::optional<core::peer_received> read_message(wire::Message::Reader in);
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/peer_codec_test.cpp
+++ b/src/currantspar/io/peer_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/peer_codec.hpp"
+#include "currantspar/io/peer_codec.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <capnp/message.h>
@@ -15,12 +15,12 @@
     core::pool_routing_view view;
     view.closed.resize(closed_engines, engine_id("e"));
     capnp::MallocMessageBuilder message;
-    const auto root = message.initRoot<platform::wire::Message>();
-    platform::write_message(root, node_id("10.0.0.1:1"), incarnation(1),
+    const auto root = message.initRoot<io::wire::Message>();
+    io::write_message(root, node_id("10.0.0.1:1"), incarnation(1),
                             core::send_peer{node_id("10.0.0.2:1"), 1, view});
     bool read = false;
     const auto refused =
-        kj::runCatchingExceptions([&]() { read = platform::read_message(root.asReader()).has_value(); });
+        kj::runCatchingExceptions([&]() { read = io::read_message(root.asReader()).has_value(); });
     return read && refused == nullptr;
 }
 
--- a/src/currantspar/platform/peer_network.cpp
+++ b/src/currantspar/io/peer_network.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/peer_network.hpp"
+#include "currantspar/io/peer_network.hpp"
 
 #include <atomic>
 #include <deque>
@@ -16,11 +16,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "currantspar/platform/address.hpp"
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/address.hpp"
+#include "currantspar/io/clock.hpp"
 #include "peer_codec.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -337,4 +337,4 @@
     return network;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/peer_network_test.cpp
+++ b/src/currantspar/io/peer_network_test.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/peer_network.hpp"
+#include "currantspar/io/peer_network.hpp"
 
 #include <condition_variable>
 #include <mutex>
@@ -7,7 +7,7 @@
 
 #include "test_socket.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -175,4 +175,4 @@
 
 } // namespace
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/service_client.cpp
+++ b/src/currantspar/io/service_client.cpp
@@ -1,10 +1,10 @@
-#include "currantspar/platform/service_client.hpp"
+#include "currantspar/io/service_client.hpp"
 
 #include <mutex>
 #include <unordered_map>
 #include <utility>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -211,4 +211,4 @@
     return std::make_unique<http_service_client>(client, options, std::move(sink));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/sse_parser.cpp
+++ b/src/currantspar/io/sse_parser.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 std::vector<sse_event> sse_parser::feed(std::string_view bytes)
 {
@@ -48,4 +48,4 @@
     }
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/sse_parser.hpp
+++ b/src/currantspar/io/sse_parser.hpp
@@ -1,12 +1,12 @@
-#ifndef CURRANTSPAR_PLATFORM_SSE_PARSER_HPP
-#define CURRANTSPAR_PLATFORM_SSE_PARSER_HPP
+#ifndef CURRANTSPAR_IO_SSE_PARSER_HPP
+#define CURRANTSPAR_IO_SSE_PARSER_HPP
 
 #include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// One server-sent event.
 struct sse_event
@@ -36,6 +36,6 @@
     bool overflowed_ = false;
 };
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/test_socket.hpp
+++ b/src/currantspar/io/test_socket.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_PLATFORM_TEST_SOCKET_HPP
-#define CURRANTSPAR_PLATFORM_TEST_SOCKET_HPP
+#ifndef CURRANTSPAR_IO_TEST_SOCKET_HPP
+#define CURRANTSPAR_IO_TEST_SOCKET_HPP
 
 #include <array>
 #include <atomic>
@@ -17,7 +17,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// A port of the loopback interface that was free a moment ago.
 [[nodiscard]] inline std::uint16_t free_port()
@@ -191,6 +191,6 @@
     return fits ? std::stoi(answer.substr(9, 3)) : 0;
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/platform/timer_service.cpp
+++ b/src/currantspar/io/timer_service.cpp
@@ -1,4 +1,4 @@
-#include "currantspar/platform/timer_service.hpp"
+#include "currantspar/io/timer_service.hpp"
 
 #include <map>
 
@@ -6,9 +6,9 @@
 #include <ace/Reactor.h>
 #include <ace/Time_Value.h>
 
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/clock.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -78,4 +78,4 @@
     return std::make_unique<reactor_timer_service>(reactor);
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/vm_list_client.cpp
+++ b/src/currantspar/io/vm_list_client.cpp
@@ -1,8 +1,8 @@
-#include "currantspar/platform/vm_list_client.hpp"
+#include "currantspar/io/vm_list_client.hpp"
 
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -45,4 +45,4 @@
     return std::make_unique<http_vm_list_client>(client, std::move(options), std::move(sink));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/whole_answer.cpp
+++ b/src/currantspar/io/whole_answer.cpp
@@ -1,6 +1,6 @@
 #include "whole_answer.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 namespace {
 
@@ -51,4 +51,4 @@
     return std::make_shared<collector>(most, std::move(done));
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
--- a/src/currantspar/platform/whole_answer.hpp
+++ b/src/currantspar/io/whole_answer.hpp
@@ -1,13 +1,13 @@
-#ifndef CURRANTSPAR_PLATFORM_WHOLE_ANSWER_HPP
-#define CURRANTSPAR_PLATFORM_WHOLE_ANSWER_HPP
+#ifndef CURRANTSPAR_IO_WHOLE_ANSWER_HPP
+#define CURRANTSPAR_IO_WHOLE_ANSWER_HPP
 
 #include <functional>
 #include <string>
 
 #include "currantspar/base/json.hpp"
-#include "currantspar/platform/http_client.hpp"
+#include "currantspar/io/http_client.hpp"
 
-namespace currantspar::platform {
+namespace currantspar::io {
 
 /// A small answer that was read whole.
 struct whole_answer
@@ -36,6 +36,6 @@
     }
 }
 
-} // namespace currantspar::platform
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/node/bad_input_test.cpp
+++ b/src/currantspar/node/bad_input_test.cpp
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
-#include "currantspar/platform/caller_front.hpp"
-#include "currantspar/platform/clock.hpp"
+#include "currantspar/io/caller_front.hpp"
+#include "currantspar/io/clock.hpp"
 #include "test_installation.hpp"
 
 namespace currantspar::node {
@@ -162,13 +162,13 @@
 
 BOOST_AUTO_TEST_SUITE(slow_senders)
 
-std::unique_ptr<platform::caller_front> open_front()
+std::unique_ptr<io::caller_front> open_front()
 {
-    platform::caller_front_options options;
+    io::caller_front_options options;
     options.address = "127.0.0.1:0";
     options.head_limit = 100ms;
     options.body_limit = 100ms;
-    auto front = platform::make_http_caller_front(options, [](core::event_body) {});
+    auto front = io::make_http_caller_front(options, [](core::event_body) {});
     BOOST_REQUIRE(front.has_value());
     config::fleet fleet;
     fleet.organisations.push_back({organisation_id("o"), {sha256_hex("key")}, {}, {}});
@@ -188,7 +188,7 @@
         std::this_thread::sleep_for(30ms);
         slow_head.write("l");
         slow_body.write(" ");
-        front->sweep(platform::monotonic_now());
+        front->sweep(io::monotonic_now());
     }
     BOOST_TEST(status_of(slow_body.read_all(2s)) == 408);
     BOOST_TEST(slow_head.read_all(2s) == "");
--- a/src/currantspar/node/effect_runner.cpp
+++ b/src/currantspar/node/effect_runner.cpp
@@ -1,11 +1,11 @@
 #include "effect_runner.hpp"
 
-#include "currantspar/platform/log.hpp"
+#include "currantspar/io/log.hpp"
 
 namespace currantspar::node {
 
-using platform::log_event;
-using platform::log_level;
+using io::log_event;
+using io::log_level;
 
 void effect_runner::operator()(const core::start_generation& effect) const
 {
--- a/src/currantspar/node/effect_runner.hpp
+++ b/src/currantspar/node/effect_runner.hpp
@@ -4,26 +4,26 @@
 #include <optional>
 
 #include "currantspar/core/effect.hpp"
-#include "currantspar/platform/caller_front.hpp"
-#include "currantspar/platform/engine_control.hpp"
-#include "currantspar/platform/engine_streams.hpp"
-#include "currantspar/platform/log_client.hpp"
-#include "currantspar/platform/peer_network.hpp"
-#include "currantspar/platform/service_client.hpp"
-#include "currantspar/platform/vm_list_client.hpp"
+#include "currantspar/io/caller_front.hpp"
+#include "currantspar/io/engine_control.hpp"
+#include "currantspar/io/engine_streams.hpp"
+#include "currantspar/io/log_client.hpp"
+#include "currantspar/io/peer_network.hpp"
+#include "currantspar/io/service_client.hpp"
+#include "currantspar/io/vm_list_client.hpp"
 
 namespace currantspar::node {
 
 /// The adapters that effects go to. All outlive the runner.
 struct adapters
 {
-    platform::log_client* log = nullptr;
-    platform::vm_list_client* vm_list = nullptr;
-    platform::engine_control* engines = nullptr;
-    platform::engine_streams* streams = nullptr;
-    platform::service_client* services = nullptr;
-    platform::caller_front* front = nullptr;
-    platform::peer_network* peers = nullptr;
+    io::log_client* log = nullptr;
+    io::vm_list_client* vm_list = nullptr;
+    io::engine_control* engines = nullptr;
+    io::engine_streams* streams = nullptr;
+    io::service_client* services = nullptr;
+    io::caller_front* front = nullptr;
+    io::peer_network* peers = nullptr;
 };
 
 /// Carries effects out by handing each to its adapter. One overload per kind. Not thread safe.
--- a/src/currantspar/node/operations.cpp
+++ b/src/currantspar/node/operations.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-using platform::admin_answer;
-using platform::admin_query;
+using io::admin_answer;
+using io::admin_query;
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
@@ -76,7 +76,7 @@
     return refreshed_.wait_for(lock, options_.status_wait, [&] { return refreshes_ != seen; });
 }
 
-std::map<std::string, platform::admin_page> operations::pages()
+std::map<std::string, io::admin_page> operations::pages()
 {
     using page = admin_answer (operations::*)(const admin_query&);
     static constexpr std::array<std::pair<const char*, page>, 6> handlers{
@@ -86,7 +86,7 @@
          {"/status", &operations::status_json},
          {"/metrics", &operations::metrics_page},
          {"/timeline", &operations::timeline_page}}};
-    std::map<std::string, platform::admin_page> made;
+    std::map<std::string, io::admin_page> made;
     for (const auto& [path, handler] : handlers) {
         made.emplace(path,
                      [this, handler = handler](const admin_query& query) { return (this->*handler)(query); });
--- a/src/currantspar/node/operations_test.cpp
+++ b/src/currantspar/node/operations_test.cpp
@@ -34,7 +34,7 @@
 }
 
 /// Answers while another thread runs the node's loop.
-platform::admin_answer ask(operations& shown, const core::node_state& state, const std::string& path)
+io::admin_answer ask(operations& shown, const core::node_state& state, const std::string& path)
 {
     bool done = false;
     std::mutex mutex;
@@ -50,7 +50,7 @@
             std::this_thread::yield();
         }
     });
-    platform::admin_answer answer = shown.pages().at(path)({});
+    io::admin_answer answer = shown.pages().at(path)({});
     {
         const std::lock_guard lock(mutex);
         done = true;
--- a/src/currantspar/node/runtime.cpp
+++ b/src/currantspar/node/runtime.cpp
@@ -13,9 +13,9 @@
 #include "currantspar/core/reducer.hpp"
 #include "currantspar/core/session.hpp"
 #include "currantspar/node/operations.hpp"
-#include "currantspar/platform/clock.hpp"
-#include "currantspar/platform/log.hpp"
-#include "currantspar/platform/timer_service.hpp"
+#include "currantspar/io/clock.hpp"
+#include "currantspar/io/log.hpp"
+#include "currantspar/io/timer_service.hpp"
 #include "effect_runner.hpp"
 #include "event_queue.hpp"
 #include "signal_watch.hpp"
@@ -24,8 +24,8 @@
 
 namespace {
 
-using platform::log_event;
-using platform::log_level;
+using io::log_event;
+using io::log_level;
 
 constexpr duration sweep_every = std::chrono::milliseconds(250);
 constexpr duration ask_limit = std::chrono::seconds(2);
@@ -88,8 +88,8 @@
     ACE_Reactor reactor_;
     operations operations_;
     event_queue queue_;
-    platform::event_sink sink_;
-    std::unique_ptr<platform::timer_service> timers_;
+    io::event_sink sink_;
+    std::unique_ptr<io::timer_service> timers_;
     std::unique_ptr<signal_watch> signals_;
     unsigned signals_seen_ = 0;
     std::unique_ptr<effect_runner> runner_;
@@ -100,15 +100,15 @@
     std::ofstream record_;
 
     // The adapters come last: their threads end before anything that they use.
-    std::unique_ptr<platform::http_client> http_;
-    std::unique_ptr<platform::log_client> log_;
-    std::unique_ptr<platform::vm_list_client> vm_list_;
-    std::unique_ptr<platform::engine_control> engines_;
-    std::unique_ptr<platform::engine_streams> streams_;
-    std::unique_ptr<platform::service_client> services_;
-    std::unique_ptr<platform::peer_network> peers_;
-    std::unique_ptr<platform::caller_front> front_;
-    std::unique_ptr<platform::admin_server> admin_;
+    std::unique_ptr<io::http_client> http_;
+    std::unique_ptr<io::log_client> log_;
+    std::unique_ptr<io::vm_list_client> vm_list_;
+    std::unique_ptr<io::engine_control> engines_;
+    std::unique_ptr<io::engine_streams> streams_;
+    std::unique_ptr<io::service_client> services_;
+    std::unique_ptr<io::peer_network> peers_;
+    std::unique_ptr<io::caller_front> front_;
+    std::unique_ptr<io::admin_server> admin_;
 };
 
 runtime::loop::loop(config::node_settings settings, runtime_options options)
@@ -117,34 +117,34 @@
       operations_(make_operations_options(settings_, options_)),
       queue_(reactor_, [this](queue_item item) { take(std::move(item)); }),
       sink_([this](core::event_body body) { queue_.post(std::move(body)); }),
-      timers_(platform::make_reactor_timer_service(reactor_))
+      timers_(io::make_reactor_timer_service(reactor_))
 {}
 
 result<void> runtime::loop::open()
 {
-    platform::caller_front_options front;
+    io::caller_front_options front;
     front.address = settings_.caller_address;
     front.max_body_bytes = settings_.max_body_bytes;
     front.max_connections = settings_.max_connections;
-    auto opened_front = platform::make_http_caller_front(front, sink_);
+    auto opened_front = io::make_http_caller_front(front, sink_);
     if (!opened_front) {
         return tl::unexpected<error>(opened_front.error());
     }
     front_ = std::move(*opened_front);
-    platform::peer_network_options peers;
+    io::peer_network_options peers;
     peers.self = state_.options.self;
     peers.process = state_.options.process;
-    auto opened_peers = platform::make_capnp_peer_network(peers, sink_);
+    auto opened_peers = io::make_capnp_peer_network(peers, sink_);
     if (!opened_peers) {
         return tl::unexpected<error>(opened_peers.error());
     }
     peers_ = std::move(*opened_peers);
-    http_ = std::make_unique<platform::http_client>();
-    log_ = platform::make_http_log_client(*http_, {settings_.log_address}, sink_);
-    vm_list_ = platform::make_http_vm_list_client(*http_, {settings_.vm_list_address}, sink_);
-    engines_ = platform::make_http_engine_control(*http_, {}, sink_);
-    streams_ = platform::make_http_engine_streams(*http_, sink_);
-    services_ = platform::make_http_service_client(*http_, {}, sink_);
+    http_ = std::make_unique<io::http_client>();
+    log_ = io::make_http_log_client(*http_, {settings_.log_address}, sink_);
+    vm_list_ = io::make_http_vm_list_client(*http_, {settings_.vm_list_address}, sink_);
+    engines_ = io::make_http_engine_control(*http_, {}, sink_);
+    streams_ = io::make_http_engine_streams(*http_, sink_);
+    services_ = io::make_http_service_client(*http_, {}, sink_);
     runner_ =
         std::make_unique<effect_runner>(adapters{log_.get(), vm_list_.get(), engines_.get(), streams_.get(),
                                                  services_.get(), front_.get(), peers_.get()});
@@ -158,9 +158,9 @@
 
 void runtime::loop::open_admin_pages()
 {
-    std::map<std::string, platform::admin_page> pages = options_.pages;
+    std::map<std::string, io::admin_page> pages = options_.pages;
     pages.merge(operations_.pages());
-    admin_ = std::make_unique<platform::admin_server>(std::move(pages));
+    admin_ = std::make_unique<io::admin_server>(std::move(pages));
 }
 
 int runtime::loop::run()
@@ -227,7 +227,7 @@
 
 void runtime::loop::happen(core::event_body body)
 {
-    const core::event happened{platform::monotonic_now(), platform::wall_now(), std::move(body)};
+    const core::event happened{io::monotonic_now(), io::wall_now(), std::move(body)};
     const core::effect_list effects = core::reduce(state_, happened);
     if (record_.is_open()) {
         record(happened, effects);
@@ -317,7 +317,7 @@
 
 int serve(const config::node_settings& settings, runtime_options options)
 {
-    platform::configure_log(settings.log_level, settings.log_lines);
+    io::configure_log(settings.log_level, settings.log_lines);
     std::signal(SIGPIPE, SIG_IGN);
     options.handle_signals = true;
     runtime node(settings, std::move(options));
--- a/src/currantspar/node/test_installation.hpp
+++ b/src/currantspar/node/test_installation.hpp
@@ -8,15 +8,15 @@
 
 #include "currantspar/base/hash.hpp"
 #include "currantspar/node/runtime.hpp"
-#include "currantspar/platform/test_socket.hpp"
+#include "currantspar/io/test_socket.hpp"
 #include "currantspar/standin/http_engine.hpp"
 #include "currantspar/standin/http_platform.hpp"
 
 namespace currantspar::node {
 
-using platform::free_port;
-using platform::raw_caller;
-using platform::status_of;
+using io::free_port;
+using io::raw_caller;
+using io::status_of;
 
 struct test_installation_options
 {
--- /dev/null
+++ b/src/currantspar/relay/engine_choice.cpp
@@ -0,0 +1,258 @@
+#include "currantspar/relay/engine_choice.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "currantspar/base/hash.hpp"
+
+namespace currantspar::relay {
+
+namespace {
+
+constexpr double tokens_per_thousand = 1000.0;
+constexpr double pairs_per_million = 1e6;
+constexpr double bits_per_byte = 8.0;
+/// Expected tokens of an answer when the caller gives no estimate: a share of its maximum.
+constexpr std::uint32_t expected_output_divisor = 2;
+
+std::uint32_t shared_tokens(const request_facts& request)
+{
+    std::uint32_t sum = 0;
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
+        sum += request.parts[index].tokens;
+    }
+    return sum;
+}
+
+std::uint32_t answer_tokens(const request_facts& request)
+{
+    return request.expected_output > 0 ? request.expected_output : request.max_output / expected_output_divisor;
+}
+
+bool is_prefill(const server_entry& engine)
+{
+    return engine.role == config::engine_role::prefill;
+}
+
+} // namespace
+
+struct engine_choice::estimate
+{
+    double ready_ms = 0; ///< until the prompt is read
+    double read_ms = 0;
+    double cost = 0; ///< ready_ms and what else the choice costs
+    std::uint32_t cached = 0;
+};
+
+std::uint64_t sharing_key(const request_facts& request)
+{
+    return request.parts.size() < 2 ? 0 : request.parts[request.parts.size() - 2].id;
+}
+
+const server_entry* home_engine(std::uint64_t key, const std::vector<const server_entry*>& engines)
+{
+    const server_entry* best = nullptr;
+    std::uint64_t best_rank = 0;
+    for (const server_entry* engine : engines) {
+        const std::uint64_t rank = fast_hash(engine->id.str(), key);
+        if (best == nullptr || rank > best_rank) {
+            best = engine;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+engine_work engine_choice::load(const backend_id& engine, instant now) const
+{
+    engine_work sum;
+    const auto add = [&](const std::map<backend_id, engine_work>& engines) {
+        const auto found = engines.find(engine);
+        if (found != engines.end()) {
+            sum.read_ms += found->second.read_ms;
+            sum.running += found->second.running;
+            sum.tokens += found->second.tokens;
+        }
+    };
+    add(own_);
+    for (const auto& [peer, work] : peers_) {
+        if (now - work.received <= options_.peer_load_age) {
+            add(work.engines);
+        }
+    }
+    return sum;
+}
+
+std::uint32_t engine_choice::cached_tokens(const request_facts& request, const backend_id& engine, bool home,
+                                           instant now) const
+{
+    if (home) {
+        return shared_tokens(request);
+    }
+    const auto known = parts_.find(engine);
+    if (known == parts_.end()) {
+        return 0;
+    }
+    std::uint32_t cached = 0;
+    for (const prompt_part& part : request.parts) {
+        const auto found = known->second.find(part.id);
+        if (found == known->second.end() || now - found->second > options_.part_memory) {
+            break;
+        }
+        cached += part.tokens;
+    }
+    return std::min(cached, request.prompt_tokens);
+}
+
+double engine_choice::read_ms(const request_facts& request, std::uint32_t cached, bool decoder) const
+{
+    const double fresh = request.prompt_tokens - std::min(cached, request.prompt_tokens);
+    const double before = (request.prompt_tokens + cached) / 2.0;
+    const double attention = fresh * before / pairs_per_million * options_.speed.attention_ms_per_million;
+    const double at_full_speed = fresh / options_.speed.read_tokens_per_ms + attention;
+    return decoder ? at_full_speed / options_.speed.decode_read_share : at_full_speed;
+}
+
+double engine_choice::decode_wait_ms(const engine_work& load, const engine_traits& traits,
+                                     const request_facts& request) const
+{
+    const double step = options_.speed.step_ms +
+                        static_cast<double>(load.tokens) / tokens_per_thousand * options_.speed.context_ms_per_thousand;
+    double wait = step;
+    const auto needed = static_cast<double>(load.tokens) + request.prompt_tokens + request.max_output;
+    const bool memory_full = traits.memory_tokens > 0 && needed > static_cast<double>(traits.memory_tokens);
+    const bool slots_full = load.running >= static_cast<std::int32_t>(traits.slots);
+    if (memory_full || slots_full) {
+        wait += step * answer_tokens(request);
+    }
+    return wait + load.running * options_.speed.context_ms_per_thousand;
+}
+
+engine_choice::estimate engine_choice::weigh_reader(const server_entry& engine, const request_facts& request,
+                                                    bool home, bool decoder, instant now) const
+{
+    estimate result;
+    result.cached = cached_tokens(request, engine.id, home, now);
+    result.read_ms = read_ms(request, result.cached, decoder);
+    result.ready_ms = load(engine.id, now).read_ms + result.read_ms;
+    const std::uint32_t shared = shared_tokens(request);
+    const double read_again = shared - std::min(result.cached, shared);
+    result.cost = result.ready_ms + read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
+    if (decoder) {
+        result.cost += result.read_ms * options_.decode_interference;
+    }
+    if (engine.data_centre != options_.data_centre) {
+        result.cost += options_.far_ms;
+    }
+    return result;
+}
+
+std::optional<placement> engine_choice::choose(const request_facts& request, const engine_traits& traits,
+                                               const std::vector<server_entry>& engines,
+                                               const std::set<backend_id>& excluded, instant now) const
+{
+    std::vector<const server_entry*> readers;
+    std::vector<const server_entry*> decoders;
+    for (const server_entry& engine : engines) {
+        if (!excluded.contains(engine.id)) {
+            (is_prefill(engine) ? readers : decoders).push_back(&engine);
+        }
+    }
+    if (decoders.empty()) {
+        return std::nullopt;
+    }
+    const std::uint64_t key = sharing_key(request);
+    const server_entry* reader_home = key == 0 ? nullptr : home_engine(key, readers);
+    const server_entry* decoder_home = key == 0 ? nullptr : home_engine(key, decoders);
+    const double bytes = static_cast<double>(traits.bytes_per_token) * request.prompt_tokens;
+    const double transfer_ms =
+        traits.link_mbps > 0 ? bytes * bits_per_byte / (traits.link_mbps * tokens_per_thousand) : 0;
+
+    placement best;
+    double best_cost = std::numeric_limits<double>::max();
+    for (const server_entry* decoder : decoders) {
+        const estimate read = weigh_reader(*decoder, request, decoder == decoder_home, true, now);
+        const double wait = decode_wait_ms(load(decoder->id, now), traits, request);
+        if (read.cost + wait < best_cost) {
+            best_cost = read.cost + wait;
+            best = {{}, decoder->id, read.read_ms, read.ready_ms + wait, read.cached};
+        }
+    }
+    if (readers.empty()) {
+        return best;
+    }
+    const server_entry* best_reader = nullptr;
+    estimate best_read;
+    for (const server_entry* reader : readers) {
+        const estimate read = weigh_reader(*reader, request, reader == reader_home, false, now);
+        if (best_reader == nullptr || read.cost < best_read.cost) {
+            best_reader = reader;
+            best_read = read;
+        }
+    }
+    for (const server_entry* decoder : decoders) {
+        const engine_work busy = load(decoder->id, now);
+        const bool near = decoder->data_centre == best_reader->data_centre;
+        const double move_ms = options_.speed.transfer_setup_ms + transfer_ms * (near ? 1 : 2);
+        // A decoder that reads prompts makes its first token between two pieces of them.
+        const double wait = decode_wait_ms(busy, traits, request) + std::min(busy.read_ms, options_.speed.step_ms * 4);
+        const double cost = best_read.cost + move_ms * (near ? 1 : 2) + wait;
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = {best_reader->id, decoder->id, best_read.read_ms, best_read.ready_ms + move_ms + wait,
+                    best_read.cached};
+        }
+    }
+    return best;
+}
+
+void engine_choice::on_sent(attempt_id attempt, const placement& chosen, const request_facts& request, instant now)
+{
+    on_ended(attempt);
+    const backend_id& reader = chosen.reader.empty() ? chosen.decoder : chosen.reader;
+    sent record{chosen, static_cast<std::int64_t>(request.prompt_tokens) + answer_tokens(request), false};
+    own_[reader].read_ms += chosen.read_ms;
+    own_[chosen.decoder].running += 1;
+    own_[chosen.decoder].tokens += record.tokens;
+    for (const prompt_part& part : request.parts) {
+        parts_[reader][part.id] = now;
+    }
+    sent_.emplace(attempt, std::move(record));
+}
+
+void engine_choice::on_read(attempt_id attempt, instant)
+{
+    const auto found = sent_.find(attempt);
+    if (found == sent_.end() || found->second.read) {
+        return;
+    }
+    found->second.read = true;
+    const placement& where = found->second.where;
+    engine_work& work = own_[where.reader.empty() ? where.decoder : where.reader];
+    work.read_ms = std::max(0.0, work.read_ms - where.read_ms);
+}
+
+void engine_choice::on_ended(attempt_id attempt)
+{
+    const auto found = sent_.find(attempt);
+    if (found == sent_.end()) {
+        return;
+    }
+    on_read(attempt, {});
+    engine_work& work = own_[found->second.where.decoder];
+    work.running = std::max(0, work.running - 1);
+    work.tokens = std::max<std::int64_t>(0, work.tokens - found->second.tokens);
+    sent_.erase(found);
+}
+
+void engine_choice::forget_engine(const backend_id& engine)
+{
+    parts_.erase(engine);
+}
+
+void engine_choice::on_peer_work(const std::string& peer, std::map<backend_id, engine_work> work, instant now)
+{
+    peers_[peer] = {std::move(work), now};
+}
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/relay_core.cpp
@@ -0,0 +1,490 @@
+#include "currantspar/relay/relay_core.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantspar::relay {
+
+namespace {
+
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_not_found = 404;
+constexpr int first_server_error = 500;
+
+std::string milliseconds_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+std::string_view stage_name(attempt_stage stage)
+{
+    switch (stage) {
+    case attempt_stage::whole:
+        return "whole";
+    case attempt_stage::read_prompt:
+        return "read_prompt";
+    case attempt_stage::take_over:
+        return "take_over";
+    }
+    return "";
+}
+
+std::string_view outcome_name(core::request_outcome outcome)
+{
+    switch (outcome) {
+    case core::request_outcome::answered:
+        return "answered";
+    case core::request_outcome::not_run:
+        return "not_run";
+    case core::request_outcome::unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+engine_choice_options engine_options(const relay_options& options)
+{
+    engine_choice_options result = options.engines;
+    result.data_centre = options.data_centre;
+    return result;
+}
+
+} // namespace
+
+relay_core::relay_core(relay_options options)
+    : options_(std::move(options)), random_(options_.seed), engines_(engine_options(options_))
+{}
+
+bool relay_core::on_config(std::shared_ptr<const relay_config> config)
+{
+    return routes_.adopt(std::move(config));
+}
+
+bool relay_core::ready() const
+{
+    return routes_.config() != nullptr && directory_.size() > 0;
+}
+
+relay_core::request_map::iterator relay_core::find_attempt(attempt_id attempt)
+{
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? requests_.end() : requests_.find(found->second);
+}
+
+relay_effects relay_core::on_request(request_number number, request_facts facts, instant now)
+{
+    relay_effects out;
+    const route_lookup found = routes_.find(facts.host, facts.path);
+    if (found.match != route_match::found || found.route->services.empty()) {
+        const bool unknown = found.match == route_match::unknown_route;
+        out.push_back(reply{number, unknown ? status_not_found : status_unavailable,
+                            unknown ? duration{} : options_.no_server_retry,
+                            unknown ? "no_such_route" : "no_configuration"});
+        out.push_back(log_decision{"request_rejected", facts.id, {{"reason", unknown ? "no_such_route" : "no_configuration"},
+                                    {"config_version", routes_.config() ? std::to_string(routes_.config()->version) : "0"}}});
+        return out;
+    }
+    request req;
+    req.facts = std::move(facts);
+    req.config = routes_.config();
+    req.route = found.route;
+    req.service = choose_service(*found.route, random_);
+    req.arrived = now;
+    req.last_event = req.facts.resume_after;
+    const duration patience = req.facts.time_left.value_or(req.route->timeout);
+    req.give_up_at = now + (req.route->timeout.count() > 0 ? std::min(patience, req.route->timeout) : patience);
+    accounts_[req.service].accepted += 1;
+    accounts_[req.service].in_flight += 1;
+    budgets_.try_emplace(req.service, options_.retries).first->second.earn();
+    const auto it = requests_.emplace(number, std::move(req)).first;
+    dispatch(it, now, out);
+    return out;
+}
+
+relay_effects relay_core::on_caller_gone(request_number number, instant now)
+{
+    relay_effects out;
+    const auto it = requests_.find(number);
+    if (it == requests_.end()) {
+        return out;
+    }
+    request& req = it->second;
+    if (req.current.value() != 0) {
+        out.push_back(cancel_attempt{req.current});
+        health_[req.service].on_cancelled(req.server);
+        attempts_.erase(req.current);
+    }
+    release_load(req);
+    accounts_[req.service].in_flight -= 1;
+    accounts_[req.service].caller_gone += 1;
+    out.push_back(log_decision{"caller_gone", req.facts.id, {{"after_ms", milliseconds_text(now - req.arrived)},
+                                {"server", req.server.str()}, {"last_event", req.last_event}}});
+    requests_.erase(it);
+    return out;
+}
+
+void relay_core::dispatch(request_map::iterator it, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    if (now + options_.least_time >= req.give_up_at) {
+        fail(it, "no_time_left", now, out);
+        return;
+    }
+    const relayed_service* service = req.config->find_service(req.service);
+    if (service != nullptr && service->engines) {
+        dispatch_generation(it, *service->engines, now, out);
+    } else {
+        dispatch_call(it, now, out);
+    }
+}
+
+void relay_core::dispatch_call(request_map::iterator it, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    const std::vector<server_entry>& servers = directory_.open_servers(req.service);
+    const std::set<backend_id> avoided = circuit_.avoided(servers, now);
+    std::vector<backend_id> candidates;
+    std::vector<backend_id> second_choice;
+    for (const server_entry& server : servers) {
+        if (req.excluded.contains(server.id)) {
+            continue;
+        }
+        (avoided.contains(server.id) ? second_choice : candidates).push_back(server.id);
+    }
+    const auto chosen = health_[req.service].choose(candidates.empty() ? second_choice : candidates, now, random_);
+    if (!chosen) {
+        fail(it, servers.empty() ? "no_server" : "all_servers_tried", now, out);
+        return;
+    }
+    send(it, *directory_.find(*chosen), attempt_stage::whole, {}, {}, now, out);
+}
+
+void relay_core::dispatch_generation(request_map::iterator it, const engine_traits& traits, instant now,
+                                     relay_effects& out)
+{
+    request& req = it->second;
+    const std::vector<server_entry>& servers = directory_.open_servers(req.service);
+    std::set<backend_id> excluded = circuit_.avoided(servers, now);
+    excluded.insert(req.excluded.begin(), req.excluded.end());
+    auto chosen = engines_.choose(req.facts, traits, servers, excluded, now);
+    if (!chosen) {
+        chosen = engines_.choose(req.facts, traits, servers, req.excluded, now);
+    }
+    if (!chosen) {
+        fail(it, servers.empty() ? "no_server" : "all_servers_tried", now, out);
+        return;
+    }
+    if (!req.last_event.empty() && !chosen->reader.empty()) {
+        // A stream that goes on runs at the engine that makes it, without a hand-over.
+        chosen->reader = {};
+    }
+    release_load(req);
+    req.where = *chosen;
+    req.load_key = attempt_id(last_attempt_ + 1);
+    engines_.on_sent(req.load_key, *chosen, req.facts, now);
+    const bool split = !chosen->reader.empty();
+    send(it, *directory_.find(split ? chosen->reader : chosen->decoder),
+         split ? attempt_stage::read_prompt : attempt_stage::whole, {}, {}, now, out);
+}
+
+void relay_core::send(request_map::iterator it, const server_entry& server, attempt_stage stage,
+                      const std::string& handle, const std::string& handle_address, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    const attempt_id attempt(++last_attempt_);
+    req.current = attempt;
+    req.server = server.id;
+    req.stage = stage;
+    req.sent = now;
+    req.written = false;
+    req.sends += 1;
+    attempts_.emplace(attempt, it->first);
+    health_[req.service].on_started(server.id);
+    const std::string resume = stage == attempt_stage::read_prompt ? std::string() : req.last_event;
+    const bool stream = req.route->kind == repetition::stream && stage != attempt_stage::read_prompt;
+    out.push_back(start_attempt{attempt, it->first, req.facts.id, stream, server.id, server.address, stage, handle,
+                                handle_address, req.give_up_at - now, req.route->priority, resume});
+    out.push_back(log_decision{
+        "attempt_started",
+        req.facts.id,
+        {{"route", req.route->name},
+         {"config_version", std::to_string(req.config->version)},
+         {"server", server.id.str()},
+         {"address", server.address},
+         {"stage", std::string(stage_name(stage))},
+         {"send", std::to_string(req.sends)},
+         {"tokens", std::to_string(req.facts.prompt_tokens)},
+         {"cached", std::to_string(req.where.cached_tokens)},
+         {"predicted_ms", std::to_string(std::lround(req.where.first_event_ms))}}});
+}
+
+void relay_core::on_written(attempt_id attempt)
+{
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end() || it->second.written) {
+        return;
+    }
+    it->second.written = true;
+    if (it->second.stage != attempt_stage::read_prompt) {
+        it->second.may_have_run = true;
+    }
+}
+
+relay_effects relay_core::on_prompt_read(attempt_id attempt, const std::string& handle, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    end_attempt(it->second, true, now);
+    engines_.on_read(it->second.load_key, now);
+    take_over(it, handle, now, out);
+    return out;
+}
+
+void relay_core::take_over(request_map::iterator it, const std::string& handle, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    const server_entry* reader = directory_.find(req.where.reader);
+    const server_entry* decoder = directory_.find(req.where.decoder);
+    if (reader == nullptr || decoder == nullptr || decoder->draining) {
+        if (reader != nullptr) {
+            out.push_back(free_prompt{reader->address, handle});
+        }
+        dispatch(it, now, out);
+        return;
+    }
+    send(it, *decoder, attempt_stage::take_over, handle, reader->address, now, out);
+}
+
+relay_effects relay_core::on_stream_head(attempt_id attempt, instant)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    request& req = it->second;
+    out.push_back(open_answer{it->first, attempt, !req.streaming});
+    req.streaming = true;
+    return out;
+}
+
+void relay_core::on_events(attempt_id attempt, const std::string& last_event, instant now)
+{
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return;
+    }
+    if (!last_event.empty()) {
+        it->second.last_event = last_event;
+    }
+    engines_.on_read(it->second.load_key, now);
+}
+
+relay_effects relay_core::on_stream_end(attempt_id attempt, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    end_attempt(it->second, true, now);
+    out.push_back(end_answer{it->first});
+    finish(it, core::request_outcome::answered, "stream", now, out);
+    return out;
+}
+
+relay_effects relay_core::on_answer(attempt_id attempt, const answer_facts& answer, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    request& req = it->second;
+    const bool failed = answer.status >= first_server_error;
+    if (failed && req.route->kind == repetition::idempotent) {
+        req.runs += 1;
+        if (may_send_again(req, true, now)) {
+            end_attempt(req, false, now);
+            retry_or_fail(it, true, "status_" + std::to_string(answer.status), now, out);
+            return out;
+        }
+    }
+    end_attempt(req, !failed, now);
+    out.push_back(deliver_answer{it->first, attempt});
+    finish(it, core::request_outcome::answered, "status_" + std::to_string(answer.status), now, out);
+    return out;
+}
+
+relay_effects relay_core::on_failure(attempt_id attempt, attempt_failure how, const std::string& detail, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    request& req = it->second;
+    const bool lost = how == attempt_failure::lost;
+    circuit_.on_failure(req.server, how == attempt_failure::not_written, now);
+    const backend_id server = req.server;
+    const bool reading = req.stage == attempt_stage::read_prompt;
+    if (lost && !reading) {
+        req.runs += 1;
+        req.may_have_run = true;
+    }
+    if (how == attempt_failure::not_run && req.runs == 0) {
+        req.may_have_run = false;
+    }
+    end_attempt(req, false, now);
+    req.excluded.insert(server);
+    out.push_back(log_decision{"attempt_failed", req.facts.id,
+                               {{"server", server.str()},
+                                {"how", how == attempt_failure::not_written ? "not_written"
+                                        : how == attempt_failure::not_run   ? "not_run"
+                                                                            : "lost"},
+                                {"detail", detail},
+                                {"after_ms", milliseconds_text(now - req.sent)}}});
+    retry_or_fail(it, lost && !reading, detail, now, out);
+    return out;
+}
+
+bool relay_core::may_send_again(const request& req, bool after_run, instant now)
+{
+    if (req.sends >= options_.most_sends || now + options_.least_time >= req.give_up_at) {
+        return false;
+    }
+    if (after_run || req.runs > 0) {
+        const bool repeatable = req.route->kind == repetition::idempotent || req.route->resumable;
+        if (!repeatable || req.runs >= req.route->max_attempts) {
+            return false;
+        }
+    }
+    return budgets_.try_emplace(req.service, options_.retries).first->second.available();
+}
+
+void relay_core::retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
+                               relay_effects& out)
+{
+    request& req = it->second;
+    if (!may_send_again(req, after_run, now)) {
+        fail(it, detail, now, out);
+        return;
+    }
+    budgets_.try_emplace(req.service, options_.retries).first->second.spend();
+    dispatch(it, now, out);
+}
+
+void relay_core::end_attempt(request& req, bool good, instant now)
+{
+    health_[req.service].on_ended(req.server, good, std::chrono::duration_cast<duration>(now - req.sent), now);
+    if (good) {
+        circuit_.on_success(req.server);
+    }
+    attempts_.erase(req.current);
+    req.current = attempt_id();
+}
+
+void relay_core::release_load(request& req)
+{
+    if (req.load_key.value() != 0) {
+        engines_.on_ended(req.load_key);
+        req.load_key = attempt_id();
+    }
+}
+
+void relay_core::fail(request_map::iterator it, const std::string& reason, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    if (req.streaming) {
+        out.push_back(break_answer{it->first});
+        finish(it, core::request_outcome::unknown, reason, now, out);
+        return;
+    }
+    if (!req.may_have_run) {
+        const duration wait = reason == "no_server" ? options_.no_server_retry : options_.full_retry;
+        refuse(it, status_unavailable, wait, reason, now, out);
+        return;
+    }
+    const bool late = now + options_.least_time >= req.give_up_at;
+    out.push_back(reply{it->first, late ? status_gateway_timeout : status_bad_gateway, {}, reason});
+    finish(it, core::request_outcome::unknown, reason, now, out);
+}
+
+void relay_core::refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason,
+                        instant now, relay_effects& out)
+{
+    out.push_back(reply{it->first, status, retry_after, reason});
+    finish(it, core::request_outcome::not_run, reason, now, out);
+}
+
+void relay_core::finish(request_map::iterator it, core::request_outcome outcome, const std::string& reason,
+                        instant now, relay_effects& out)
+{
+    request& req = it->second;
+    release_load(req);
+    core::ledger_account& account = accounts_[req.service];
+    account.in_flight -= 1;
+    switch (outcome) {
+    case core::request_outcome::answered:
+        account.answered += 1;
+        break;
+    case core::request_outcome::not_run:
+        account.not_run += 1;
+        break;
+    case core::request_outcome::unknown:
+        account.unknown += 1;
+        break;
+    }
+    out.push_back(log_decision{"request_ended", req.facts.id,
+                               {{"outcome", std::string(outcome_name(outcome))},
+                                {"reason", reason},
+                                {"server", req.server.str()},
+                                {"sends", std::to_string(req.sends)},
+                                {"after_ms", milliseconds_text(now - req.arrived)}}});
+    requests_.erase(it);
+}
+
+relay_effects relay_core::on_tick(instant now)
+{
+    relay_effects out;
+    directory_.on_tick(now);
+    for (auto it = requests_.begin(); it != requests_.end();) {
+        const auto next = std::next(it);
+        request& req = it->second;
+        const bool waiting = req.current.value() != 0;
+        if (now >= req.give_up_at) {
+            if (waiting) {
+                out.push_back(cancel_attempt{req.current});
+                const bool reading = req.stage == attempt_stage::read_prompt;
+                if (!reading && req.written) {
+                    req.runs += 1;
+                }
+                end_attempt(req, false, now);
+            }
+            fail(it, "timeout", now, out);
+        } else if (waiting && req.route->kind == repetition::idempotent && req.written &&
+                   now - req.sent > req.route->target * options_.hedge_factor && req.runs + 1 < req.route->max_attempts) {
+            const attempt_id silent = req.current;
+            out.push_back(cancel_attempt{silent});
+            for (relay_effect& effect : on_failure(silent, attempt_failure::lost, "silent", now)) {
+                out.push_back(std::move(effect));
+            }
+        } else if (waiting && req.stage == attempt_stage::read_prompt &&
+                   now - req.sent > from_seconds(req.where.first_event_ms / 1000.0) + options_.read_grace) {
+            const attempt_id silent = req.current;
+            out.push_back(cancel_attempt{silent});
+            for (relay_effect& effect : on_failure(silent, attempt_failure::lost, "prompt_late", now)) {
+                out.push_back(std::move(effect));
+            }
+        }
+        it = next;
+    }
+    return out;
+}
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/server_circuit.cpp
@@ -0,0 +1,38 @@
+#include "currantspar/relay/server_circuit.hpp"
+
+#include <algorithm>
+
+namespace currantspar::relay {
+
+void server_circuit::on_success(const backend_id& server)
+{
+    views_.erase(server);
+}
+
+void server_circuit::on_failure(const backend_id& server, bool certain, instant now)
+{
+    view& known = views_[server];
+    known.failures = certain ? std::max(known.failures + 1, options_.failures_to_open) : known.failures + 1;
+    if (known.failures < options_.failures_to_open) {
+        return;
+    }
+    const unsigned doublings = std::min(known.failures - options_.failures_to_open, 8U);
+    known.open_until = now + std::min(options_.open_first * (1U << doublings), options_.open_most);
+}
+
+std::set<backend_id> server_circuit::avoided(const std::vector<server_entry>& servers, instant now) const
+{
+    std::set<backend_id> result;
+    for (const server_entry& server : servers) {
+        const auto found = views_.find(server.id);
+        if (found != views_.end() && now < found->second.open_until) {
+            result.insert(server.id);
+        }
+    }
+    if (static_cast<double>(result.size()) > options_.open_share_most * static_cast<double>(servers.size())) {
+        result.clear();
+    }
+    return result;
+}
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/server_directory.cpp
@@ -0,0 +1,107 @@
+#include "currantspar/relay/server_directory.hpp"
+
+namespace currantspar::relay {
+
+entry_change server_directory::put(const server_entry& entry, instant)
+{
+    missing_.erase(entry.id);
+    const auto [place, added] = entries_.try_emplace(entry.id, entry);
+    if (added) {
+        rebuild();
+        return entry.draining ? entry_change::closed : entry_change::added;
+    }
+    if (place->second == entry) {
+        return entry_change::none;
+    }
+    const bool closes = entry.draining && !place->second.draining;
+    place->second = entry;
+    rebuild();
+    return closes ? entry_change::closed : entry_change::changed;
+}
+
+entry_change server_directory::remove(const backend_id& id, instant now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return entry_change::none;
+    }
+    if (holding(now) && !found->second.draining) {
+        missing_.insert(id);
+        return entry_change::none;
+    }
+    missing_.erase(id);
+    entries_.erase(found);
+    rebuild();
+    return entry_change::closed;
+}
+
+void server_directory::replace(const std::vector<server_entry>& listed, instant now)
+{
+    std::set<backend_id> present;
+    for (const server_entry& entry : listed) {
+        present.insert(entry.id);
+        put(entry, now);
+    }
+    std::vector<backend_id> absent;
+    for (const auto& [id, entry] : entries_) {
+        if (!present.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const backend_id& id : absent) {
+        remove(id, now);
+    }
+}
+
+void server_directory::on_store_lost(instant)
+{
+    store_lost_ = true;
+}
+
+void server_directory::on_store_back(instant now)
+{
+    store_lost_ = false;
+    hold_until_ = now + options_.outage_hold;
+}
+
+void server_directory::on_tick(instant now)
+{
+    if (missing_.empty() || holding(now)) {
+        return;
+    }
+    for (const backend_id& id : missing_) {
+        entries_.erase(id);
+    }
+    missing_.clear();
+    rebuild();
+}
+
+bool server_directory::holding(instant now) const
+{
+    return store_lost_ || now < hold_until_;
+}
+
+const std::vector<server_entry>& server_directory::open_servers(const service_id& service) const
+{
+    static const std::vector<server_entry> none;
+    const auto found = open_.find(service);
+    return found == open_.end() ? none : found->second;
+}
+
+const server_entry* server_directory::find(const backend_id& id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+void server_directory::rebuild()
+{
+    open_.clear();
+    for (const auto& [id, entry] : entries_) {
+        if (!entry.draining) {
+            open_[entry.service].push_back(entry);
+        }
+    }
+}
+
+} // namespace currantspar::relay
