--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -12,6 +12,7 @@
 struct store_watch_options
 {
     duration period{};          ///< between two reads; 0: the next read begins at once
+    duration initial_delay{};   ///< before the first read
     duration wait{};            ///< how long the store may hold a read until records arrive
     duration answer_timeout = std::chrono::milliseconds(1500); ///< beyond `wait`
     duration retry_first = std::chrono::milliseconds(150);
@@ -68,6 +69,7 @@
     std::uint64_t next_ = 0;
     http_answer answer_;
     exchange_id exchange_ = 0;
+    bool started_ = false;
     instant due_{};
     instant begun_{};
     bool in_touch_ = false;
--- a/include/currantspar/relay/engine_choice.hpp
+++ b/include/currantspar/relay/engine_choice.hpp
@@ -28,7 +28,7 @@
     data_centre_id data_centre;
     engine_speed speed{};
     duration part_memory = std::chrono::seconds(12); ///< how long a part that was read counts as cached
-    duration peer_load_age = std::chrono::milliseconds(1500); ///< older loads of peers are forgotten
+    duration peer_load_age = std::chrono::milliseconds(2500); ///< older loads of peers are forgotten
     double reread_ms_per_thousand = 12;  ///< cost above its time of reading a thousand shared tokens again
     double far_ms = 4;                   ///< cost of an engine in another data centre
     double decode_interference = 0.6;    ///< cost for the streams of a decode engine that reads, of its time
@@ -52,6 +52,12 @@
     std::int64_t tokens = 0;   ///< of these requests, prompt and answer
 };
 
+/// Work at engines, by the hash of the engine's name.
+using engine_loads = std::unordered_map<std::uint64_t, engine_work>;
+
+/// The number under which nodes name an engine to each other. Thread safe.
+[[nodiscard]] std::uint64_t engine_number(const backend_id& engine);
+
 /// Chooses engines for prompts that share parts. Each shared part has a home, the same at every node without a
 /// message (rendezvous hashing); a request leaves the home when another engine is predicted to answer first
 /// even though it must read the part again. Not thread safe.
@@ -75,9 +81,11 @@
     void forget_engine(const backend_id& engine);
 
     /// What this node has at each engine, for its peers.
-    [[nodiscard]] const std::map<backend_id, engine_work>& own_work() const { return own_; }
-    /// Replaces what a peer has at the engines.
-    void on_peer_work(const std::string& peer, std::map<backend_id, engine_work> work, instant now);
+    [[nodiscard]] const engine_loads& own_work() const { return own_; }
+    /// A peer told what it has at engines; with `whole` at all of them.
+    void on_peer_work(const std::string& peer, const engine_loads& work, bool whole, instant now);
+    /// Forgets peers that haven't been heard for too long.
+    void on_tick(instant now);
 
 private:
     struct sent
@@ -88,12 +96,14 @@
     };
     struct peer_work
     {
-        std::map<backend_id, engine_work> engines;
+        engine_loads engines;
         instant received{};
     };
     struct estimate;
 
-    [[nodiscard]] engine_work load(const backend_id& engine, instant now) const;
+    /// This node's and its peers' work at an engine.
+    [[nodiscard]] engine_work load(const backend_id& engine) const;
+    void change_total(const engine_loads& work, int sign);
     [[nodiscard]] std::uint32_t cached_tokens(const request_facts& request, const backend_id& engine, bool home,
                                               instant now) const;
     [[nodiscard]] double read_ms(const request_facts& request, std::uint32_t cached, bool decoder) const;
@@ -103,7 +113,8 @@
                                         bool decoder, instant now) const;
 
     engine_choice_options options_;
-    std::map<backend_id, engine_work> own_;
+    engine_loads own_;
+    engine_loads others_; ///< the sum of all peers' work
     std::map<std::string, peer_work> peers_;
     std::unordered_map<attempt_id, sent> sent_;
     std::map<backend_id, std::unordered_map<std::uint64_t, instant>> parts_; ///< last read by this node
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -1,5 +1,5 @@
 # Messages between currantspar nodes. The generated code is committed beside the sources that use it; to make
-# it anew: capnp compile -oc++:src/currantspar/platform --src-prefix=schema schema/peer.capnp
+# it anew: capnp compile -oc++:src/currantspar/io --src-prefix=schema schema/peer.capnp
 @0xb3f1c2a97d5e4a61;
 
 using Cxx = import "/capnp/c++.capnp";
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -22,6 +22,10 @@
 constexpr duration stop_margin = std::chrono::milliseconds(400);
 constexpr duration idle_check_period = std::chrono::milliseconds(250);
 constexpr duration server_poll_period = std::chrono::milliseconds(800);
+constexpr duration node_list_period = std::chrono::seconds(15);
+/// By then nodes that started together have written their records.
+constexpr duration node_list_delay = std::chrono::milliseconds(1200);
+constexpr duration announce_retry = std::chrono::seconds(2);
 constexpr duration configuration_wait = std::chrono::seconds(10);
 /// Statuses that promise that a request hasn't run.
 constexpr int promises[] = {408, 421, 429, 503};
@@ -143,9 +147,40 @@
     : reactor_(reactor), wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)),
       servers_(reactor, {}), store_(reactor, {}), ready_(std::make_unique<ready_sink>(*this)),
       front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
-      ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); })
+      ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); }),
+      peers_(reactor, {}, [this](const load_digest& digest) {
+          core_.engines().on_peer_work(digest.sender, digest.engines, digest.whole, io::monotonic_now());
+      })
 {}
 
+/// Waits for the store's answer to this node's record, and writes it again when it failed.
+class gateway_node::announcement : public exchange_sink
+{
+public:
+    explicit announcement(gateway_node& node) : node_(node) {}
+
+    bool answer_head(int status, const http_fields&) override
+    {
+        status_ = status;
+        return true;
+    }
+    void answer_body(std::string_view) override {}
+    void answer_complete() override { settle(status_ == status_ok, "status " + std::to_string(status_)); }
+    void request_failed(bool, const std::string& detail) override { settle(false, detail); }
+
+private:
+    void settle(bool written, const std::string& detail)
+    {
+        node_.announced_ = written;
+        node_.announce_due_ = io::monotonic_now() + announce_retry;
+        io::log_event(io::log_level::info, "node_announced",
+                      {{"written", written ? "true" : "false"}, {"detail", detail}});
+    }
+
+    gateway_node& node_;
+    int status_ = 0;
+};
+
 gateway_node::~gateway_node() = default;
 
 result<void> gateway_node::start()
@@ -156,6 +191,11 @@
     if (const auto opened = front_listener_.open(settings_.front_address); !opened) {
         return opened;
     }
+    if (!settings_.peer_address.empty()) {
+        if (const auto opened = peers_.open(settings_.peer_address); !opened) {
+            return opened;
+        }
+    }
     watch_store();
     io::log_event(io::log_level::info, "started",
                   {{"node", settings_.node},
@@ -418,6 +458,42 @@
                 core_.directory().on_store_back(now);
                 io::log_event(io::log_level::info, "store_back", {{"topic", "servers"}});
             }}));
+    if (settings_.peer_address.empty()) {
+        return;
+    }
+    store_watch_options nodes;
+    nodes.period = node_list_period;
+    nodes.initial_delay = node_list_delay;
+    watches_.push_back(std::make_unique<store_watch>(
+        store_, wire_, settings_.store_address, shared_topic::nodes, nodes,
+        store_watch_handlers{
+            [this](const std::vector<keyed_record>& records, instant now) { on_nodes(records, now); },
+            [this](const std::vector<keyed_record>& records, instant now) { on_nodes(records, now); },
+            [](const std::string& reason, instant) {
+                io::log_event(io::log_level::warning, "store_lost", {{"topic", "nodes"}, {"reason", reason}});
+            },
+            [](instant) { io::log_event(io::log_level::info, "store_back", {{"topic", "nodes"}}); }}));
+}
+
+void gateway_node::on_nodes(const std::vector<keyed_record>& records, instant now)
+{
+    for (const keyed_record& record : records) {
+        if (record.value) {
+            peers_.add_peer(record.key, now);
+        }
+    }
+}
+
+void gateway_node::announce(instant now)
+{
+    if (announced_ || now < announce_due_ || settings_.peer_address.empty()) {
+        return;
+    }
+    announce_due_ = now + announce_retry;
+    store_.cancel(announce_exchange_);
+    announcement_ = std::make_unique<announcement>(*this);
+    announce_exchange_ = store_.start(settings_.store_address,
+                 wire_.encode_put(shared_topic::nodes, settings_.peer_address, settings_.node), *announcement_, now);
 }
 
 void gateway_node::on_configuration(const std::vector<keyed_record>& records, instant)
@@ -484,8 +560,10 @@
     for (const auto& watch : watches_) {
         watch->on_tick(now);
     }
+    announce(now);
     servers_.on_tick(now);
     store_.on_tick(now);
+    peers_.on_tick(core_.engines().own_work(), now);
     run(core_.on_tick(now), now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -9,6 +9,7 @@
 
 #include "currantspar/gateway/caller_connection.hpp"
 #include "currantspar/gateway/event_splitter.hpp"
+#include "currantspar/gateway/peer_link.hpp"
 #include "currantspar/gateway/server_connection.hpp"
 #include "currantspar/gateway/store_watch.hpp"
 #include "currantspar/gateway/wire_protocol.hpp"
@@ -34,6 +35,7 @@
     [[nodiscard]] bool done(instant now) const;
 
 private:
+    class announcement;
     class attempt;
     class ready_sink;
     struct caller
@@ -71,6 +73,9 @@
     void watch_store();
     void on_configuration(const std::vector<keyed_record>& records, instant now);
     void on_servers(const std::vector<keyed_record>& records, bool whole, instant now);
+    void on_nodes(const std::vector<keyed_record>& records, instant now);
+    /// Writes this node's record, by which the others find it.
+    void announce(instant now);
 
     [[nodiscard]] caller* find_caller(relay::request_number number);
 
@@ -84,7 +89,11 @@
     listener front_listener_;
     listener ready_listener_;
     std::vector<std::unique_ptr<store_watch>> watches_;
-    store_watch* server_watch_ = nullptr;
+    peer_link peers_;
+    std::unique_ptr<exchange_sink> announcement_;
+    exchange_id announce_exchange_ = 0;
+    bool announced_ = false;
+    instant announce_due_{};
 
     std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::vector<std::unique_ptr<caller_connection>> closed_;
--- /dev/null
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -0,0 +1,199 @@
+#include "currantspar/gateway/peer_link.hpp"
+
+#include <array>
+#include <cmath>
+#include <cstring>
+
+#include <ace/Reactor.h>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include "currantspar/io/address.hpp"
+#include "currantspar/io/clock.hpp"
+#include "load.capnp.h"
+
+namespace currantspar::gateway {
+
+namespace {
+
+constexpr std::size_t datagram_bytes = 16384;
+/// A digest names at most this many engines, so that it fits one datagram.
+constexpr std::size_t engines_most = 400;
+constexpr std::size_t traversal_words = 16384;
+
+} // namespace
+
+std::string encode_digest(const load_digest& digest)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::LoadDigest>();
+    root.setSender(digest.sender);
+    root.setSequence(digest.sequence);
+    root.setWhole(digest.whole);
+    const std::size_t count = std::min(digest.engines.size(), engines_most);
+    auto engines = root.initEngines(static_cast<unsigned>(count));
+    unsigned index = 0;
+    for (const auto& [engine, work] : digest.engines) {
+        if (index == count) {
+            break;
+        }
+        auto entry = engines[index++];
+        entry.setEngine(engine);
+        entry.setReadMs(static_cast<std::uint32_t>(std::max(0.0, std::round(work.read_ms))));
+        entry.setRunning(static_cast<std::uint32_t>(std::max(0, work.running)));
+        entry.setTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, work.tokens)));
+    }
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+result<load_digest> decode_digest(std::string_view bytes)
+{
+    load_digest digest;
+    const auto problem = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::ReaderOptions limits;
+        limits.traversalLimitInWords = traversal_words;
+        capnp::PackedMessageReader message(in, limits);
+        const auto root = message.getRoot<wire::LoadDigest>();
+        digest.sender = root.getSender().cStr();
+        digest.sequence = root.getSequence();
+        digest.whole = root.getWhole();
+        for (const auto entry : root.getEngines()) {
+            digest.engines[entry.getEngine()] = {static_cast<double>(entry.getReadMs()),
+                                                 static_cast<std::int32_t>(entry.getRunning()),
+                                                 static_cast<std::int64_t>(entry.getTokens())};
+        }
+    });
+    KJ_IF_MAYBE(exception, problem) {
+        return fail(error_kind::invalid, exception->getDescription().cStr());
+    }
+    return digest;
+}
+
+peer_link::peer_link(ACE_Reactor& reactor, peer_link_options options, digest_handler received)
+    : reactor_(reactor), options_(options), received_(std::move(received))
+{}
+
+peer_link::~peer_link()
+{
+    if (socket_.get_handle() != ACE_INVALID_HANDLE) {
+        reactor_.remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        socket_.close();
+    }
+}
+
+result<void> peer_link::open(const std::string& address)
+{
+    const auto parsed = io::parse_address(address);
+    if (!parsed) {
+        return tl::unexpected(parsed.error());
+    }
+    const ACE_INET_Addr local(parsed->port, parsed->host.c_str());
+    if (socket_.open(local, PF_INET, 0, 1) != 0) {
+        return fail(error_kind::unavailable, "can't receive at " + address + ": " + std::strerror(errno));
+    }
+    socket_.enable(ACE_NONBLOCK);
+    self_ = address;
+    if (reactor_.register_handler(this, ACE_Event_Handler::READ_MASK) != 0) {
+        return fail(error_kind::internal, "the reactor doesn't take the socket at " + address);
+    }
+    return {};
+}
+
+void peer_link::add_peer(const std::string& address, instant now)
+{
+    if (address == self_ || peers_.contains(address)) {
+        return;
+    }
+    if (const auto parsed = io::parse_address(address); parsed) {
+        peers_.emplace(address, peer{ACE_INET_Addr(parsed->port, parsed->host.c_str()), now, 0});
+    }
+}
+
+void peer_link::on_tick(const relay::engine_loads& own, instant now)
+{
+    if (self_.empty() || now < news_due_) {
+        return;
+    }
+    news_due_ = now + options_.news_period;
+    load_digest digest{self_, 0, now >= whole_due_, {}};
+    if (digest.whole) {
+        whole_due_ = now + options_.whole_period;
+        forget_silent(now);
+        digest.engines = own;
+    } else {
+        for (const auto& [engine, work] : own) {
+            const auto before = told_.find(engine);
+            const bool same = before != told_.end() && before->second.running == work.running &&
+                              std::abs(before->second.read_ms - work.read_ms) < options_.least_change_ms;
+            if (!same) {
+                digest.engines.emplace(engine, work);
+            }
+        }
+        if (digest.engines.empty()) {
+            return;
+        }
+    }
+    for (const auto& [engine, work] : digest.engines) {
+        told_[engine] = work;
+    }
+    digest.sequence = ++sequence_;
+    send(digest);
+}
+
+void peer_link::send(const load_digest& digest)
+{
+    const std::string bytes = encode_digest(digest);
+    for (const auto& [address, to] : peers_) {
+        // A datagram that can't be sent is like one that is lost: the next whole digest mends it.
+        static_cast<void>(socket_.send(bytes.data(), bytes.size(), to.address));
+    }
+}
+
+void peer_link::forget_silent(instant now)
+{
+    std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > options_.peer_timeout; });
+}
+
+int peer_link::handle_input(ACE_HANDLE)
+{
+    static std::array<char, datagram_bytes> buffer;
+    for (;;) {
+        ACE_INET_Addr from;
+        const ssize_t got = socket_.recv(buffer.data(), buffer.size(), from, MSG_DONTWAIT);
+        if (got <= 0) {
+            return 0;
+        }
+        receive(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+    }
+}
+
+void peer_link::receive(std::string_view bytes)
+{
+    const auto digest = decode_digest(bytes);
+    if (!digest || digest->sender.empty() || digest->sender == self_) {
+        return;
+    }
+    const instant now = io::monotonic_now();
+    add_peer(digest->sender, now);
+    const auto found = peers_.find(digest->sender);
+    if (found == peers_.end()) {
+        return;
+    }
+    peer& known = found->second;
+    known.heard = now;
+    // A much lower number comes from a new process of the peer; a slightly lower one was overtaken.
+    constexpr std::uint64_t reorder_window = 64;
+    if (digest->sequence < known.sequence && known.sequence - digest->sequence < reorder_window) {
+        return;
+    }
+    known.sequence = digest->sequence;
+    received_(*digest);
+}
+
+} // namespace currantspar::gateway
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -19,6 +19,9 @@
 
 void store_watch::on_tick(instant now)
 {
+    if (!std::exchange(started_, true)) {
+        due_ = now + options_.initial_delay;
+    }
     if (exchange_ == 0) {
         if (now >= due_) {
             begin(now);
--- a/src/currantspar/relay/engine_choice.cpp
+++ b/src/currantspar/relay/engine_choice.cpp
@@ -63,21 +63,21 @@
     return best;
 }
 
-engine_work engine_choice::load(const backend_id& engine, instant now) const
+std::uint64_t engine_number(const backend_id& engine)
 {
+    return fast_hash(engine.str());
+}
+
+engine_work engine_choice::load(const backend_id& engine) const
+{
+    const std::uint64_t number = engine_number(engine);
     engine_work sum;
-    const auto add = [&](const std::map<backend_id, engine_work>& engines) {
-        const auto found = engines.find(engine);
-        if (found != engines.end()) {
-            sum.read_ms += found->second.read_ms;
-            sum.running += found->second.running;
-            sum.tokens += found->second.tokens;
-        }
-    };
-    add(own_);
-    for (const auto& [peer, work] : peers_) {
-        if (now - work.received <= options_.peer_load_age) {
-            add(work.engines);
+    for (const engine_loads* loads : {&own_, &others_}) {
+        const auto found = loads->find(number);
+        if (found != loads->end()) {
+            sum.read_ms += std::max(0.0, found->second.read_ms);
+            sum.running += std::max(0, found->second.running);
+            sum.tokens += std::max<std::int64_t>(0, found->second.tokens);
         }
     }
     return sum;
@@ -134,7 +134,7 @@
     estimate result;
     result.cached = cached_tokens(request, engine.id, home, now);
     result.read_ms = read_ms(request, result.cached, decoder);
-    result.ready_ms = load(engine.id, now).read_ms + result.read_ms;
+    result.ready_ms = load(engine.id).read_ms + result.read_ms;
     const std::uint32_t shared = shared_tokens(request);
     const double read_again = shared - std::min(result.cached, shared);
     result.cost = result.ready_ms + read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
@@ -172,7 +172,7 @@
     double best_cost = std::numeric_limits<double>::max();
     for (const server_entry* decoder : decoders) {
         const estimate read = weigh_reader(*decoder, request, decoder == decoder_home, true, now);
-        const double wait = decode_wait_ms(load(decoder->id, now), traits, request);
+        const double wait = decode_wait_ms(load(decoder->id), traits, request);
         if (read.cost + wait < best_cost) {
             best_cost = read.cost + wait;
             best = {{}, decoder->id, read.read_ms, read.ready_ms + wait, read.cached};
@@ -191,7 +191,7 @@
         }
     }
     for (const server_entry* decoder : decoders) {
-        const engine_work busy = load(decoder->id, now);
+        const engine_work busy = load(decoder->id);
         const bool near = decoder->data_centre == best_reader->data_centre;
         const double move_ms = options_.speed.transfer_setup_ms + transfer_ms * (near ? 1 : 2);
         // A decoder that reads prompts makes its first token between two pieces of them.
@@ -211,9 +211,9 @@
     on_ended(attempt);
     const backend_id& reader = chosen.reader.empty() ? chosen.decoder : chosen.reader;
     sent record{chosen, static_cast<std::int64_t>(request.prompt_tokens) + answer_tokens(request), false};
-    own_[reader].read_ms += chosen.read_ms;
-    own_[chosen.decoder].running += 1;
-    own_[chosen.decoder].tokens += record.tokens;
+    own_[engine_number(reader)].read_ms += chosen.read_ms;
+    own_[engine_number(chosen.decoder)].running += 1;
+    own_[engine_number(chosen.decoder)].tokens += record.tokens;
     for (const prompt_part& part : request.parts) {
         parts_[reader][part.id] = now;
     }
@@ -228,7 +228,7 @@
     }
     found->second.read = true;
     const placement& where = found->second.where;
-    engine_work& work = own_[where.reader.empty() ? where.decoder : where.reader];
+    engine_work& work = own_[engine_number(where.reader.empty() ? where.decoder : where.reader)];
     work.read_ms = std::max(0.0, work.read_ms - where.read_ms);
 }
 
@@ -239,7 +239,7 @@
         return;
     }
     on_read(attempt, {});
-    engine_work& work = own_[found->second.where.decoder];
+    engine_work& work = own_[engine_number(found->second.where.decoder)];
     work.running = std::max(0, work.running - 1);
     work.tokens = std::max<std::int64_t>(0, work.tokens - found->second.tokens);
     sent_.erase(found);
@@ -250,9 +250,40 @@
     parts_.erase(engine);
 }
 
-void engine_choice::on_peer_work(const std::string& peer, std::map<backend_id, engine_work> work, instant now)
+void engine_choice::change_total(const engine_loads& work, int sign)
+{
+    for (const auto& [engine, part] : work) {
+        engine_work& total = others_[engine];
+        total.read_ms += sign * part.read_ms;
+        total.running += sign * part.running;
+        total.tokens += sign * part.tokens;
+    }
+}
+
+void engine_choice::on_peer_work(const std::string& peer, const engine_loads& work, bool whole, instant now)
 {
-    peers_[peer] = {std::move(work), now};
+    peer_work& known = peers_[peer];
+    known.received = now;
+    change_total(known.engines, -1);
+    if (whole) {
+        known.engines = work;
+    } else {
+        for (const auto& [engine, part] : work) {
+            known.engines[engine] = part;
+        }
+    }
+    change_total(known.engines, 1);
+}
+
+void engine_choice::on_tick(instant now)
+{
+    std::erase_if(peers_, [&](const auto& entry) {
+        const bool silent = now - entry.second.received > options_.peer_load_age;
+        if (silent) {
+            change_total(entry.second.engines, -1);
+        }
+        return silent;
+    });
 }
 
 } // namespace currantspar::relay
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -453,6 +453,7 @@
 {
     relay_effects out;
     directory_.on_tick(now);
+    engines_.on_tick(now);
     for (auto it = requests_.begin(); it != requests_.end();) {
         const auto next = std::next(it);
         request& req = it->second;
