--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -24,6 +24,7 @@
     std::uint64_t sequence = 0;
     bool whole = false; ///< all of the sender's work; otherwise only what changed
     relay::engine_loads engines;
+    std::vector<relay::cached_part> parts; ///< read for the sender lately
 };
 
 /// The bytes of a digest. Thread safe.
@@ -53,9 +54,11 @@
     /// Digests go to this node from now on.
     void add_peer(const std::string& address, instant now);
     /// Sends what is due.
-    void on_tick(const relay::engine_loads& own, instant now);
+    void on_tick(relay::engine_choice& own, instant now);
     /// Nodes heard lately, this one included.
     [[nodiscard]] std::size_t live_nodes() const { return peers_.size() + 1; }
+    /// How many live nodes come before this one in the order that all nodes agree on.
+    [[nodiscard]] std::size_t place() const;
 
     ACE_HANDLE get_handle() const override { return socket_.get_handle(); }
     int handle_input(ACE_HANDLE) override;
--- a/include/currantspar/gateway/wire_protocol.hpp
+++ b/include/currantspar/gateway/wire_protocol.hpp
@@ -43,6 +43,31 @@
     configuration, ///< the operators' configuration
     servers,       ///< what backend servers and engines say of themselves
     nodes,         ///< what the gateway's own nodes say of themselves
+    authority,     ///< claims of the right to order engines
+};
+
+/// What an engine says of its state.
+struct engine_status
+{
+    std::optional<config::engine_role> role;
+    std::uint64_t orders = 0; ///< accepted since its start
+    bool changing = false;    ///< carries out an order
+};
+
+/// An order to change an engine's role.
+struct role_order
+{
+    config::engine_role role = config::engine_role::prefill;
+    std::string holder;            ///< who orders
+    std::uint64_t token = 0;       ///< the fencing token
+    std::uint64_t orders_before = 0; ///< the engine refuses when it has accepted another number
+};
+
+enum class order_outcome
+{
+    accepted,   ///< is carried out, or holds already
+    refused,    ///< not carried out
+    superseded, ///< the engine has seen a higher token
 };
 
 /// A page of the newest records of a topic.
@@ -100,6 +125,20 @@
     [[nodiscard]] virtual std::string encode_put(shared_topic topic, const std::string& key,
                                                  const std::string& value) const = 0;
 
+    /// An append under the condition that the topic ends at `end`.
+    [[nodiscard]] virtual std::string encode_put_at(shared_topic topic, const std::string& key,
+                                                    const std::string& value, std::uint64_t end) const = 0;
+    /// The offset of a record that was put; an error of kind `conflict` when its condition didn't hold.
+    [[nodiscard]] virtual result<std::uint64_t> decode_put(const http_answer& answer) const = 0;
+
+    // Engines' control side.
+
+    [[nodiscard]] virtual std::string encode_status(const relay::server_entry& engine) const = 0;
+    [[nodiscard]] virtual result<engine_status> decode_status(const http_answer& answer) const = 0;
+    [[nodiscard]] virtual std::string encode_order(const relay::server_entry& engine,
+                                                   const role_order& order) const = 0;
+    [[nodiscard]] virtual order_outcome decode_order(const http_answer& answer) const = 0;
+
     /// The configuration that a record holds; nothing when the record is another one.
     [[nodiscard]] virtual result<std::shared_ptr<const relay::relay_config>>
     decode_config(const keyed_record& record) const = 0;
--- a/include/currantspar/relay/engine_choice.hpp
+++ b/include/currantspar/relay/engine_choice.hpp
@@ -29,9 +29,10 @@
     engine_speed speed{};
     duration part_memory = std::chrono::seconds(12); ///< how long a part that was read counts as cached
     duration peer_load_age = std::chrono::milliseconds(2500); ///< older loads of peers are forgotten
+    duration part_news_age = std::chrono::seconds(3); ///< a part that was used again later is told again
     double reread_ms_per_thousand = 12;  ///< cost above its time of reading a thousand shared tokens again
     double far_ms = 4;                   ///< cost of an engine in another data centre
-    double decode_interference = 0.6;    ///< cost for the streams of a decode engine that reads, of its time
+    double decode_interference = 4.0;    ///< cost for the streams of a decode engine that reads, of its time
 };
 
 /// Where a request's prompt is read and where its answer is made.
@@ -55,12 +56,19 @@
 /// Work at engines, by the hash of the engine's name.
 using engine_loads = std::unordered_map<std::uint64_t, engine_work>;
 
+/// A shared prompt part that an engine has read.
+struct cached_part
+{
+    std::uint64_t engine = 0; ///< its number
+    std::uint64_t part = 0;
+};
+
 /// The number under which nodes name an engine to each other. Thread safe.
 [[nodiscard]] std::uint64_t engine_number(const backend_id& engine);
 
-/// Chooses engines for prompts that share parts. Each shared part has a home, the same at every node without a
-/// message (rendezvous hashing); a request leaves the home when another engine is predicted to answer first
-/// even though it must read the part again. Not thread safe.
+/// Chooses engines for prompts that share parts. A part that no engine has read yet goes to its home, the same at
+/// every node without a message (rendezvous hashing). Nodes tell each other where parts were read; a request goes to
+/// another engine when that is predicted to answer first even though it must read the part again. Not thread safe.
 class engine_choice
 {
 public:
@@ -82,6 +90,10 @@
 
     /// What this node has at each engine, for its peers.
     [[nodiscard]] const engine_loads& own_work() const { return own_; }
+    /// Shared parts that engines read for this node and that its peers should know; each is told once in a while.
+    [[nodiscard]] std::vector<cached_part> take_news();
+    /// A peer had these parts read.
+    void on_peer_parts(const std::vector<cached_part>& parts, instant now);
     /// A peer told what it has at engines; with `whole` at all of them.
     void on_peer_work(const std::string& peer, const engine_loads& work, bool whole, instant now);
     /// Forgets peers that haven't been heard for too long.
@@ -103,8 +115,9 @@
 
     /// This node's and its peers' work at an engine.
     [[nodiscard]] engine_work load(const backend_id& engine) const;
+    void note_parts(const request_facts& request, std::uint64_t engine, instant now);
     void change_total(const engine_loads& work, int sign);
-    [[nodiscard]] std::uint32_t cached_tokens(const request_facts& request, const backend_id& engine, bool home,
+    [[nodiscard]] std::uint32_t cached_tokens(const request_facts& request, std::uint64_t engine,
                                               instant now) const;
     [[nodiscard]] double read_ms(const request_facts& request, std::uint32_t cached, bool decoder) const;
     [[nodiscard]] double decode_wait_ms(const engine_work& load, const engine_traits& traits,
@@ -117,7 +130,10 @@
     engine_loads others_; ///< the sum of all peers' work
     std::map<std::string, peer_work> peers_;
     std::unordered_map<attempt_id, sent> sent_;
-    std::map<backend_id, std::unordered_map<std::uint64_t, instant>> parts_; ///< last read by this node
+    /// By engine number and part: when it was last used, as far as known.
+    std::unordered_map<std::uint64_t, std::unordered_map<std::uint64_t, instant>> parts_;
+    std::vector<cached_part> news_;
+    instant purge_due_{};
 };
 
 /// The part by which requests share most: the last one that isn't the request's own; 0: none. Thread safe.
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -29,7 +29,7 @@
     duration full_retry = std::chrono::milliseconds(400);
     unsigned most_sends = 6;                                     ///< of one request, refusals included
     double hedge_factor = 8;                                     ///< idempotent: silent after this many objectives
-    duration read_grace = std::chrono::milliseconds(600);        ///< a prompt that takes longer is read elsewhere
+    duration read_grace = std::chrono::milliseconds(1500);        ///< a prompt that takes longer is read elsewhere
 };
 
 /// How an attempt came to its end without a whole answer.
--- /dev/null
+++ b/include/currantspar/relay/role_plan.hpp
@@ -0,0 +1,37 @@
+#ifndef CURRANTSPAR_RELAY_ROLE_PLAN_HPP
+#define CURRANTSPAR_RELAY_ROLE_PLAN_HPP
+
+#include <set>
+#include <vector>
+
+#include "currantspar/relay/model.hpp"
+
+namespace currantspar::relay {
+
+/// The pattern: prompts are long and answers short, so reading prompts takes most of the engines' time, while a
+/// decode engine carries dozens of answers at once as long as it reads nothing.
+struct role_plan_options
+{
+    double reader_share = 0.62;     ///< of a service's engines, that only read prompts
+    unsigned decoders_least = 3;    ///< engines that make answers; fewer only when there are fewer engines
+    unsigned tolerance = 1;         ///< engines off the share that are left as they are
+    unsigned changes_most = 8;      ///< at one time while no request is served
+    unsigned changes_serving = 2;   ///< at one time while requests are served
+};
+
+/// A change of one engine's role.
+struct role_change
+{
+    backend_id engine;
+    config::engine_role role = config::engine_role::prefill;
+};
+
+/// The changes that bring a service's open engines to the plan, leaving out engines in `changing`, which count as
+/// changed already. Deterministic: each node plans the same from the same entries. Thread safe.
+[[nodiscard]] std::vector<role_change> plan_roles(const std::vector<server_entry>& engines,
+                                                  const std::set<backend_id>& changing, bool serving,
+                                                  const role_plan_options& options);
+
+} // namespace currantspar::relay
+
+#endif
--- a/schema/load.capnp
+++ b/schema/load.capnp
@@ -11,6 +11,12 @@
   sequence @1 :UInt64;        # grows with each digest of the sender's process
   whole @2 :Bool;             # names all engines at which the sender has work; otherwise only those that changed
   engines @3 :List(EngineLoad);
+  parts @4 :List(CachedPart); # prompt parts that the sender has had read since its last digest
+}
+
+struct CachedPart {
+  engine @0 :UInt64;          # hash of the engine's name
+  part @1 :UInt64;
 }
 
 struct EngineLoad {
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -150,7 +150,9 @@
       ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); }),
       peers_(reactor, {}, [this](const load_digest& digest) {
           core_.engines().on_peer_work(digest.sender, digest.engines, digest.whole, io::monotonic_now());
-      })
+          core_.engines().on_peer_parts(digest.parts, io::monotonic_now());
+      }),
+      roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address)
 {}
 
 /// Waits for the store's answer to this node's record, and writes it again when it failed.
@@ -534,6 +536,9 @@
                           {{"server", record.key}, {"reason", entry.error().message}});
             continue;
         }
+        if (entry->role) {
+            roles_.on_role(id, *entry->role);
+        }
         if (whole) {
             listed.push_back(*entry);
             continue;
@@ -563,7 +568,10 @@
     announce(now);
     servers_.on_tick(now);
     store_.on_tick(now);
-    peers_.on_tick(core_.engines().own_work(), now);
+    peers_.on_tick(core_.engines(), now);
+    if (!stopping_) {
+        roles_.on_tick(peers_.place(), now);
+    }
     run(core_.on_tick(now), now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -15,6 +15,7 @@
 #include "currantspar/gateway/wire_protocol.hpp"
 #include "currantspar/relay/relay_core.hpp"
 #include "listener.hpp"
+#include "role_controller.hpp"
 
 namespace currantspar::gateway {
 
@@ -90,6 +91,7 @@
     listener ready_listener_;
     std::vector<std::unique_ptr<store_watch>> watches_;
     peer_link peers_;
+    role_controller roles_;
     std::unique_ptr<exchange_sink> announcement_;
     exchange_id announce_exchange_ = 0;
     bool announced_ = false;
--- a/src/currantspar/gateway/load.capnp.h
+++ b/src/currantspar/gateway/load.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c1cf87668186831e);
+CAPNP_DECLARE_SCHEMA(807e98b865a4f60e);
 CAPNP_DECLARE_SCHEMA(af1c04601621e2a3);
 
 }  // namespace schemas
@@ -34,7 +35,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CachedPart {
+  CachedPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(807e98b865a4f60e, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -85,6 +101,9 @@
   inline bool hasEngines() const;
   inline  ::capnp::List< ::currantspar::gateway::wire::EngineLoad,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
 
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -133,6 +152,13 @@
   inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::EngineLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::EngineLoad,  ::capnp::Kind::STRUCT>> disownEngines();
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -159,6 +185,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class CachedPart::Reader {
+public:
+  typedef CachedPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngine() const;
+
+  inline  ::uint64_t getPart() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CachedPart::Builder {
+public:
+  typedef CachedPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngine();
+  inline void setEngine( ::uint64_t value);
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CachedPart::Pipeline {
+public:
+  typedef CachedPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EngineLoad::Reader {
 public:
   typedef EngineLoad Reads;
@@ -348,6 +455,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LoadDigest::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setParts( ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CachedPart::Reader::getEngine() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CachedPart::Builder::getEngine() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CachedPart::Builder::setEngine( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CachedPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CachedPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CachedPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EngineLoad::Reader::getEngine() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t datagram_bytes = 16384;
 /// A digest names at most this many engines, so that it fits one datagram.
 constexpr std::size_t engines_most = 400;
+constexpr std::size_t parts_most = 200;
 constexpr std::size_t traversal_words = 16384;
 
 } // namespace
@@ -44,6 +45,12 @@
         entry.setRunning(static_cast<std::uint32_t>(std::max(0, work.running)));
         entry.setTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, work.tokens)));
     }
+    const std::size_t part_count = std::min(digest.parts.size(), parts_most);
+    auto parts = root.initParts(static_cast<unsigned>(part_count));
+    for (std::size_t part = 0; part < part_count; ++part) {
+        parts[static_cast<unsigned>(part)].setEngine(digest.parts[part].engine);
+        parts[static_cast<unsigned>(part)].setPart(digest.parts[part].part);
+    }
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -68,6 +75,9 @@
                                                  static_cast<std::int32_t>(entry.getRunning()),
                                                  static_cast<std::int64_t>(entry.getTokens())};
         }
+        for (const auto part : root.getParts()) {
+            digest.parts.push_back({part.getEngine(), part.getPart()});
+        }
     });
     KJ_IF_MAYBE(exception, problem) {
         return fail(error_kind::invalid, exception->getDescription().cStr());
@@ -115,32 +125,33 @@
     }
 }
 
-void peer_link::on_tick(const relay::engine_loads& own, instant now)
+void peer_link::on_tick(relay::engine_choice& work, instant now)
 {
     if (self_.empty() || now < news_due_) {
         return;
     }
     news_due_ = now + options_.news_period;
-    load_digest digest{self_, 0, now >= whole_due_, {}};
+    const relay::engine_loads& own = work.own_work();
+    load_digest digest{self_, 0, now >= whole_due_, {}, work.take_news()};
     if (digest.whole) {
         whole_due_ = now + options_.whole_period;
         forget_silent(now);
         digest.engines = own;
     } else {
-        for (const auto& [engine, work] : own) {
+        for (const auto& [engine, load] : own) {
             const auto before = told_.find(engine);
-            const bool same = before != told_.end() && before->second.running == work.running &&
-                              std::abs(before->second.read_ms - work.read_ms) < options_.least_change_ms;
+            const bool same = before != told_.end() && before->second.running == load.running &&
+                              std::abs(before->second.read_ms - load.read_ms) < options_.least_change_ms;
             if (!same) {
-                digest.engines.emplace(engine, work);
+                digest.engines.emplace(engine, load);
             }
         }
-        if (digest.engines.empty()) {
+        if (digest.engines.empty() && digest.parts.empty()) {
             return;
         }
     }
-    for (const auto& [engine, work] : digest.engines) {
-        told_[engine] = work;
+    for (const auto& [engine, load] : digest.engines) {
+        told_[engine] = load;
     }
     digest.sequence = ++sequence_;
     send(digest);
@@ -160,6 +171,11 @@
     std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > options_.peer_timeout; });
 }
 
+std::size_t peer_link::place() const
+{
+    return static_cast<std::size_t>(std::distance(peers_.begin(), peers_.lower_bound(self_)));
+}
+
 int peer_link::handle_input(ACE_HANDLE)
 {
     static std::array<char, datagram_bytes> buffer;
--- /dev/null
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -0,0 +1,265 @@
+#include "role_controller.hpp"
+
+#include <algorithm>
+
+#include <ctime>
+
+#include "currantspar/io/clock.hpp"
+#include "currantspar/io/log.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+/// The time of a clock that goes on while the machine is suspended: a lease must not outlive a suspension.
+instant suspend_aware_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return instant(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+std::string role_name(config::engine_role role)
+{
+    return role == config::engine_role::prefill ? "prefill" : "decode";
+}
+
+} // namespace
+
+/// One call whose whole answer, or null when none comes, goes to a function.
+class role_controller::call : public exchange_sink
+{
+public:
+    call(server_pool& pool, instant give_up_at, std::function<void(const http_answer*)> done)
+        : give_up_at_(give_up_at), pool_(pool), done_(std::move(done))
+    {}
+    ~call() override { pool_.cancel(exchange_); }
+
+    void start(const std::string& address, std::string request, instant now)
+    {
+        exchange_ = pool_.start(address, std::move(request), *this, now);
+    }
+    bool answer_head(int status, const http_fields& fields) override
+    {
+        answer_.status = status;
+        answer_.fields = fields;
+        return true;
+    }
+    void answer_body(std::string_view bytes) override { answer_.body.append(bytes); }
+    void answer_complete() override { settle(&answer_); }
+    void request_failed(bool, const std::string&) override { settle(nullptr); }
+    void give_up()
+    {
+        pool_.cancel(exchange_);
+        settle(nullptr);
+    }
+
+    [[nodiscard]] bool settled() const { return settled_; }
+    [[nodiscard]] instant give_up_at() const { return give_up_at_; }
+
+private:
+    void settle(const http_answer* answer)
+    {
+        if (!std::exchange(settled_, true)) {
+            done_(answer);
+        }
+    }
+
+    instant give_up_at_;
+    server_pool& pool_;
+    std::function<void(const http_answer*)> done_;
+    http_answer answer_;
+    exchange_id exchange_ = 0;
+    bool settled_ = false;
+};
+
+role_controller::role_controller(server_pool& servers, server_pool& store, const wire_protocol& wire,
+                                 relay::relay_core& core, std::string node, std::string store_address,
+                                 role_controller_options options)
+    : servers_(servers), store_(store), wire_(wire), core_(core), node_(std::move(node)),
+      store_address_(std::move(store_address)), options_(options)
+{}
+
+role_controller::~role_controller() = default;
+
+void role_controller::start(server_pool& pool, const std::string& address, std::string request, duration timeout,
+                            std::function<void(const http_answer*)> done)
+{
+    const instant now = io::monotonic_now();
+    calls_.push_back(std::make_unique<call>(pool, now + timeout, std::move(done)));
+    calls_.back()->start(address, std::move(request), now);
+}
+
+void role_controller::on_tick(std::size_t place, instant now)
+{
+    if (begun_ == instant()) {
+        begun_ = now;
+    }
+    for (std::size_t index = 0; index < calls_.size(); ++index) {
+        if (!calls_[index]->settled() && now >= calls_[index]->give_up_at()) {
+            calls_[index]->give_up();
+        }
+    }
+    std::erase_if(calls_, [](const auto& each) { return each->settled(); });
+    if (now < check_due_ || now - begun_ < options_.settle_time) {
+        return;
+    }
+    check_due_ = now + options_.check_period;
+    const std::vector<relay::role_change> wanted = plan(now);
+    if (wanted.empty()) {
+        wanted_since_ = instant();
+        return;
+    }
+    if (wanted_since_ == instant()) {
+        wanted_since_ = now;
+    }
+    if (now - wanted_since_ < options_.turn * static_cast<std::int64_t>(place)) {
+        return;
+    }
+    if (!lease_.token(suspend_aware_now())) {
+        step_lease(true);
+        return;
+    }
+    for (const relay::role_change& each : wanted) {
+        order(each);
+    }
+}
+
+std::vector<relay::role_change> role_controller::plan(instant now)
+{
+    std::erase_if(changing_, [&](const auto& entry) { return now >= entry.second.until; });
+    std::set<backend_id> changing;
+    for (const auto& [engine, change] : changing_) {
+        changing.insert(engine);
+    }
+    std::vector<relay::role_change> wanted;
+    const auto& config = core_.routes().config();
+    if (!config) {
+        return wanted;
+    }
+    const bool serving = core_.open_requests() > 0;
+    for (const relay::relayed_service& service : config->services) {
+        if (!service.engines) {
+            continue;
+        }
+        const auto changes =
+            relay::plan_roles(core_.directory().open_servers(service.id), changing, serving, options_.plan);
+        wanted.insert(wanted.end(), changes.begin(), changes.end());
+    }
+    return wanted;
+}
+
+void role_controller::step_lease(bool wanted)
+{
+    switch (lease_.next(wanted, suspend_aware_now())) {
+    case relay::lease_step::none:
+        return;
+    case relay::lease_step::read:
+        start(store_, store_address_, wire_.encode_newest(shared_topic::authority, {}), options_.order_timeout,
+              [this](const http_answer* answer) {
+                  const auto page = answer == nullptr ? fail(error_kind::timeout, "no answer")
+                                                      : wire_.decode_newest(*answer);
+                  if (!page) {
+                      lease_.on_failed(suspend_aware_now());
+                      return;
+                  }
+                  const bool any = !page->records.empty();
+                  lease_.on_read(any ? std::optional(page->records.back().offset) : std::nullopt, page->end,
+                                 suspend_aware_now());
+              });
+        return;
+    case relay::lease_step::claim:
+        start(store_, store_address_,
+              wire_.encode_put_at(shared_topic::authority, "roles", node_, lease_.claim_at()), options_.order_timeout,
+              [this](const http_answer* answer) {
+                  const auto offset =
+                      answer == nullptr ? fail(error_kind::timeout, "no answer") : wire_.decode_put(*answer);
+                  if (!offset) {
+                      lease_.on_failed(suspend_aware_now());
+                      io::log_event(io::log_level::info, "lease_not_claimed", {{"reason", offset.error().message}});
+                      return;
+                  }
+                  lease_.on_claimed(*offset);
+                  io::log_event(io::log_level::info, "lease_claimed", {{"offset", std::to_string(*offset)}});
+              });
+        return;
+    }
+}
+
+void role_controller::order(const relay::role_change& wanted)
+{
+    const relay::server_entry* engine = core_.directory().find(wanted.engine);
+    if (engine == nullptr) {
+        return;
+    }
+    changing_[wanted.engine] = {wanted.role, io::monotonic_now() + options_.change_time};
+    const relay::server_entry entry = *engine;
+    start(servers_, entry.address, wire_.encode_status(entry), options_.order_timeout,
+          [this, wanted, entry](const http_answer* answer) {
+              if (answer == nullptr) {
+                  changing_.erase(wanted.engine);
+                  return;
+              }
+              on_status(wanted, entry, *answer);
+          });
+}
+
+void role_controller::on_status(const relay::role_change& wanted, const relay::server_entry& engine,
+                                const http_answer& answer)
+{
+    const auto status = wire_.decode_status(answer);
+    if (!status || status->changing || status->role == wanted.role) {
+        changing_.erase(wanted.engine);
+        return;
+    }
+    send_order(wanted, engine, status->orders);
+}
+
+void role_controller::send_order(const relay::role_change& wanted, const relay::server_entry& engine,
+                                 std::uint64_t orders)
+{
+    const auto token = lease_.token(suspend_aware_now());
+    if (!token) {
+        changing_.erase(wanted.engine);
+        return;
+    }
+    io::log_event(io::log_level::info, "order_sent",
+                  {{"engine", engine.id.str()},
+                   {"role", role_name(wanted.role)},
+                   {"token", std::to_string(*token)},
+                   {"orders_before", std::to_string(orders)}});
+    start(servers_, engine.address, wire_.encode_order(engine, {wanted.role, node_, *token, orders}),
+          options_.order_timeout, [this, id = engine.id, token = *token](const http_answer* answer) {
+              if (answer == nullptr) {
+                  // It may still be carried out: the engine's entry tells, or the time for the change passes.
+                  io::log_event(io::log_level::warning, "order_unanswered", {{"engine", id.str()}});
+                  return;
+              }
+              on_ordered(id, token, *answer);
+          });
+}
+
+void role_controller::on_ordered(const backend_id& engine, std::uint64_t token, const http_answer& answer)
+{
+    const order_outcome outcome = wire_.decode_order(answer);
+    io::log_event(io::log_level::info, "order_answered",
+                  {{"engine", engine.str()}, {"token", std::to_string(token)}, {"status", std::to_string(answer.status)}});
+    if (outcome == order_outcome::superseded) {
+        lease_.on_superseded();
+    }
+    if (outcome != order_outcome::accepted) {
+        changing_.erase(engine);
+    }
+}
+
+void role_controller::on_role(const backend_id& engine, config::engine_role role)
+{
+    const auto found = changing_.find(engine);
+    if (found != changing_.end() && found->second.role == role) {
+        io::log_event(io::log_level::info, "role_changed", {{"engine", engine.str()}, {"role", role_name(role)}});
+        changing_.erase(found);
+    }
+}
+
+} // namespace currantspar::gateway
--- a/src/currantspar/io/log.cpp
+++ b/src/currantspar/io/log.cpp
@@ -19,7 +19,7 @@
 
     namespace {
 
-    constexpr unsigned lines_per_event = 10; ///< in one window
+    constexpr unsigned lines_per_event = 100; ///< in one window
     constexpr duration window = std::chrono::seconds(1);
     constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
 
--- a/src/currantspar/relay/engine_choice.cpp
+++ b/src/currantspar/relay/engine_choice.cpp
@@ -83,12 +83,8 @@
     return sum;
 }
 
-std::uint32_t engine_choice::cached_tokens(const request_facts& request, const backend_id& engine, bool home,
-                                           instant now) const
+std::uint32_t engine_choice::cached_tokens(const request_facts& request, std::uint64_t engine, instant now) const
 {
-    if (home) {
-        return shared_tokens(request);
-    }
     const auto known = parts_.find(engine);
     if (known == parts_.end()) {
         return 0;
@@ -132,12 +128,15 @@
                                                     bool home, bool decoder, instant now) const
 {
     estimate result;
-    result.cached = cached_tokens(request, engine.id, home, now);
+    result.cached = cached_tokens(request, engine_number(engine.id), now);
     result.read_ms = read_ms(request, result.cached, decoder);
     result.ready_ms = load(engine.id).read_ms + result.read_ms;
     const std::uint32_t shared = shared_tokens(request);
     const double read_again = shared - std::min(result.cached, shared);
-    result.cost = result.ready_ms + read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
+    result.cost = result.ready_ms;
+    if (!home) {
+        result.cost += read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
+    }
     if (decoder) {
         result.cost += result.read_ms * options_.decode_interference;
     }
@@ -214,12 +213,36 @@
     own_[engine_number(reader)].read_ms += chosen.read_ms;
     own_[engine_number(chosen.decoder)].running += 1;
     own_[engine_number(chosen.decoder)].tokens += record.tokens;
-    for (const prompt_part& part : request.parts) {
-        parts_[reader][part.id] = now;
-    }
+    note_parts(request, engine_number(reader), now);
     sent_.emplace(attempt, std::move(record));
 }
 
+void engine_choice::note_parts(const request_facts& request, std::uint64_t engine, instant now)
+{
+    auto& known = parts_[engine];
+    for (std::size_t index = 0; index < request.parts.size(); ++index) {
+        const std::uint64_t part = request.parts[index].id;
+        const auto [place, added] = known.try_emplace(part, now);
+        const bool own = index + 1 == request.parts.size();
+        if (!own && (added || now - place->second > options_.part_news_age)) {
+            news_.push_back({engine, part});
+            place->second = now;
+        }
+    }
+}
+
+std::vector<cached_part> engine_choice::take_news()
+{
+    return std::exchange(news_, {});
+}
+
+void engine_choice::on_peer_parts(const std::vector<cached_part>& parts, instant now)
+{
+    for (const cached_part& part : parts) {
+        parts_[part.engine][part.part] = now;
+    }
+}
+
 void engine_choice::on_read(attempt_id attempt, instant)
 {
     const auto found = sent_.find(attempt);
@@ -247,7 +270,7 @@
 
 void engine_choice::forget_engine(const backend_id& engine)
 {
-    parts_.erase(engine);
+    parts_.erase(engine_number(engine));
 }
 
 void engine_choice::change_total(const engine_loads& work, int sign)
@@ -284,6 +307,13 @@
         }
         return silent;
     });
+    if (now < purge_due_) {
+        return;
+    }
+    purge_due_ = now + options_.part_memory;
+    for (auto& [engine, known] : parts_) {
+        std::erase_if(known, [&](const auto& entry) { return now - entry.second > options_.part_memory; });
+    }
 }
 
 } // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/lease.cpp
@@ -0,0 +1,70 @@
+#include "currantspar/relay/lease.hpp"
+
+namespace currantspar::relay {
+
+lease_step lease::next(bool wanted, instant now)
+{
+    if (busy_ && now - call_sent_ > options_.answer_timeout) {
+        on_failed(now);
+    }
+    if (!wanted || busy_ || now < again_at_ || token(now)) {
+        return lease_step::none;
+    }
+    busy_ = true;
+    call_sent_ = now;
+    if (!known_) {
+        return lease_step::read;
+    }
+    const bool lapsed = !newest_ || now - newest_seen_ >= options_.hold + options_.apart;
+    if (!lapsed) {
+        busy_ = false;
+        again_at_ = newest_seen_ + options_.hold + options_.apart;
+        return lease_step::none;
+    }
+    return lease_step::claim;
+}
+
+void lease::on_read(std::optional<std::uint64_t> newest_claim, std::uint64_t end, instant now)
+{
+    busy_ = false;
+    known_ = true;
+    end_ = end;
+    if (newest_claim != newest_ || !newest_) {
+        newest_ = newest_claim;
+        newest_seen_ = now;
+    }
+}
+
+void lease::on_claimed(std::uint64_t offset)
+{
+    busy_ = false;
+    known_ = false;
+    claimed_ = true;
+    token_ = offset + 1;
+    newest_ = offset;
+    newest_seen_ = call_sent_;
+    act_until_ = call_sent_ + options_.hold;
+}
+
+void lease::on_failed(instant now)
+{
+    busy_ = false;
+    known_ = false;
+    again_at_ = now + options_.answer_timeout;
+}
+
+void lease::on_superseded()
+{
+    claimed_ = false;
+    known_ = false;
+}
+
+std::optional<std::uint64_t> lease::token(instant now) const
+{
+    if (!claimed_ || now >= act_until_) {
+        return std::nullopt;
+    }
+    return token_;
+}
+
+} // namespace currantspar::relay
