--- a/include/currantspar/relay/role_plan.hpp
+++ b/include/currantspar/relay/role_plan.hpp
@@ -12,7 +12,7 @@
 /// decode engine carries dozens of answers at once as long as it reads nothing.
 struct role_plan_options
 {
-    double reader_share = 0.62;     ///< of a service's engines, that only read prompts
+    double reader_share = 0.78;     ///< of a service's engines, that only read prompts
     unsigned decoders_least = 3;    ///< engines that make answers; fewer only when there are fewer engines
     unsigned tolerance = 1;         ///< engines off the share that are left as they are
     unsigned changes_most = 8;      ///< at one time while no request is served
