--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -25,6 +25,7 @@
     bool whole = false; ///< all of the sender's work; otherwise only what changed
     relay::engine_loads engines;
     std::vector<relay::cached_part> parts; ///< read for the sender lately
+    std::uint64_t configuration = 0;       ///< version in force at the sender; 0: none
 };
 
 /// The bytes of a digest. Thread safe.
@@ -54,7 +55,7 @@
     /// Digests go to this node from now on.
     void add_peer(const std::string& address, instant now);
     /// Sends what is due.
-    void on_tick(relay::engine_choice& own, instant now);
+    void on_tick(relay::engine_choice& own, std::uint64_t configuration, instant now);
     /// Nodes heard lately, this one included.
     [[nodiscard]] std::size_t live_nodes() const { return peers_.size() + 1; }
     /// How many live nodes come before this one in the order that all nodes agree on.
@@ -83,6 +84,7 @@
     std::string self_;
     std::map<std::string, peer> peers_;
     relay::engine_loads told_;
+    std::uint64_t told_configuration_ = 0;
     std::uint64_t sequence_ = 0;
     instant news_due_{};
     instant whole_due_{};
--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -14,9 +14,9 @@
     duration period{};          ///< between two reads; 0: the next read begins at once
     duration initial_delay{};   ///< before the first read
     duration wait{};            ///< how long the store may hold a read until records arrive
-    duration answer_timeout = std::chrono::milliseconds(1500); ///< beyond `wait`
+    duration answer_timeout = std::chrono::milliseconds(1100); ///< beyond `wait`
     duration retry_first = std::chrono::milliseconds(150);
-    duration retry_most = std::chrono::milliseconds(1000);
+    duration retry_most = std::chrono::milliseconds(500);
 };
 
 /// What a watch tells of its topic.
@@ -41,6 +41,8 @@
 
     /// Begins a read that is due, and gives one up that is overdue.
     void on_tick(instant now);
+    /// Gives up the read that is on its way and begins another: the store was found to be lost or back.
+    void restart(instant now);
     /// False while reads fail, and before the first one.
     [[nodiscard]] bool in_touch() const { return in_touch_; }
 
--- a/include/currantspar/policy/limits.hpp
+++ b/include/currantspar/policy/limits.hpp
@@ -23,7 +23,7 @@
     explicit retry_budget(retry_budget_options options = {}) : options_(options), left_(options.reserve) {}
 
     void earn();
-    [[nodiscard]] bool available() const { return left_ >= 1.0; }
+    [[nodiscard]] bool available(double retries = 1.0) const { return left_ >= retries; }
     /// Precondition: available().
     void spend() { left_ -= 1.0; }
 
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -29,6 +29,7 @@
     duration full_retry = std::chrono::milliseconds(400);
     unsigned most_sends = 6;                                     ///< of one request, refusals included
     double hedge_factor = 8;                                     ///< idempotent: silent after this many objectives
+    duration handle_avoid = std::chrono::seconds(2); ///< an engine whose prompts couldn't be taken over reads none
     duration read_grace = std::chrono::milliseconds(1500);        ///< a prompt that takes longer is read elsewhere
 };
 
@@ -99,6 +100,8 @@
         instant give_up_at{};
         std::set<backend_id> excluded;
         unsigned sends = 0; ///< attempts written or tried
+        bool prompt_asked = false; ///< an engine was asked to read the prompt before
+        bool run_asked = false;    ///< a server was asked to run the request before
         unsigned runs = 0;  ///< attempts that may have run
         bool may_have_run = false;
         bool streaming = false; ///< the caller has the head of a stream
@@ -121,6 +124,8 @@
     void send(request_map::iterator it, const server_entry& server, attempt_stage stage, const std::string& handle,
               const std::string& handle_address, instant now, relay_effects& out);
     void take_over(request_map::iterator it, const std::string& handle, instant now, relay_effects& out);
+    /// Takes an arrival beyond a request's first one from the budget.
+    void spend_retry(request& req, attempt_stage stage);
     [[nodiscard]] bool may_send_again(const request& req, bool after_run, instant now);
     void end_attempt(request& req, bool good, instant now);
     void release_load(request& req);
@@ -139,6 +144,7 @@
     server_directory directory_;
     engine_choice engines_;
     server_circuit circuit_;
+    std::map<backend_id, instant> lapsing_; ///< engines whose prompts couldn't be taken over, until when
     std::map<service_id, policy::backend_health> health_;
     std::map<service_id, policy::retry_budget> budgets_;
     std::map<service_id, core::ledger_account> accounts_;
--- a/schema/load.capnp
+++ b/schema/load.capnp
@@ -12,6 +12,7 @@
   whole @2 :Bool;             # names all engines at which the sender has work; otherwise only those that changed
   engines @3 :List(EngineLoad);
   parts @4 :List(CachedPart); # prompt parts that the sender has had read since its last digest
+  configuration @5 :UInt64;   # version in force at the sender; 0: none
 }
 
 struct CachedPart {
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -26,7 +26,11 @@
 /// By then nodes that started together have written their records.
 constexpr duration node_list_delay = std::chrono::milliseconds(1200);
 constexpr duration announce_retry = std::chrono::seconds(2);
-constexpr duration configuration_wait = std::chrono::seconds(10);
+/// Reads of the configuration are held between these times, drawn for each node so that they don't end together.
+constexpr duration configuration_wait_least = std::chrono::milliseconds(2500);
+constexpr duration configuration_wait_spread = std::chrono::milliseconds(2500);
+/// Between two early reads of the configuration that peers' digests cause.
+constexpr duration hasten_period = std::chrono::milliseconds(400);
 /// Statuses that promise that a request hasn't run.
 constexpr int promises[] = {408, 421, 429, 503};
 
@@ -148,10 +152,7 @@
       servers_(reactor, {}), store_(reactor, {}), ready_(std::make_unique<ready_sink>(*this)),
       front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
       ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); }),
-      peers_(reactor, {}, [this](const load_digest& digest) {
-          core_.engines().on_peer_work(digest.sender, digest.engines, digest.whole, io::monotonic_now());
-          core_.engines().on_peer_parts(digest.parts, io::monotonic_now());
-      }),
+      peers_(reactor, {}, [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
       roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address)
 {}
 
@@ -435,7 +436,8 @@
 void gateway_node::watch_store()
 {
     store_watch_options configuration;
-    configuration.wait = configuration_wait;
+    random_generator draw(fast_hash(settings_.node));
+    configuration.wait = configuration_wait_least + from_seconds(to_seconds(configuration_wait_spread) * draw.unit());
     watches_.push_back(std::make_unique<store_watch>(
         store_, wire_, settings_.store_address, shared_topic::configuration, configuration,
         store_watch_handlers{
@@ -445,6 +447,7 @@
                 io::log_event(io::log_level::warning, "store_lost", {{"topic", "configuration"}, {"reason", reason}});
             },
             [](instant) { io::log_event(io::log_level::info, "store_back", {{"topic", "configuration"}}); }}));
+    configuration_watch_ = watches_.back().get();
     store_watch_options servers;
     servers.period = server_poll_period;
     watches_.push_back(std::make_unique<store_watch>(
@@ -454,10 +457,12 @@
             [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, false, now); },
             [this](const std::string& reason, instant now) {
                 core_.directory().on_store_lost(now);
+                configuration_watch_->restart(now);
                 io::log_event(io::log_level::warning, "store_lost", {{"topic", "servers"}, {"reason", reason}});
             },
             [this](instant now) {
                 core_.directory().on_store_back(now);
+                configuration_watch_->restart(now);
                 io::log_event(io::log_level::info, "store_back", {{"topic", "servers"}});
             }}));
     if (settings_.peer_address.empty()) {
@@ -486,6 +491,26 @@
     }
 }
 
+void gateway_node::on_digest(const load_digest& digest, instant now)
+{
+    core_.engines().on_peer_work(digest.sender, digest.engines, digest.whole, now);
+    core_.engines().on_peer_parts(digest.parts, now);
+    const std::uint64_t own = configuration_version();
+    if (digest.configuration > own && now >= hasten_due_) {
+        hasten_due_ = now + hasten_period;
+        io::log_event(io::log_level::info, "configuration_behind",
+                      {{"peer", digest.sender}, {"own", std::to_string(own)},
+                       {"peers", std::to_string(digest.configuration)}});
+        configuration_watch_->restart(now);
+    }
+}
+
+std::uint64_t gateway_node::configuration_version() const
+{
+    const auto& config = core_.routes().config();
+    return config ? config->version : 0;
+}
+
 void gateway_node::announce(instant now)
 {
     if (announced_ || now < announce_due_ || settings_.peer_address.empty()) {
@@ -568,7 +593,7 @@
     announce(now);
     servers_.on_tick(now);
     store_.on_tick(now);
-    peers_.on_tick(core_.engines(), now);
+    peers_.on_tick(core_.engines(), configuration_version(), now);
     if (!stopping_) {
         roles_.on_tick(peers_.place(), now);
     }
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -75,6 +75,9 @@
     void on_configuration(const std::vector<keyed_record>& records, instant now);
     void on_servers(const std::vector<keyed_record>& records, bool whole, instant now);
     void on_nodes(const std::vector<keyed_record>& records, instant now);
+    /// Takes over what a peer tells, and reads the configuration at once when the peer has a newer one.
+    void on_digest(const load_digest& digest, instant now);
+    [[nodiscard]] std::uint64_t configuration_version() const;
     /// Writes this node's record, by which the others find it.
     void announce(instant now);
 
@@ -90,12 +93,14 @@
     listener front_listener_;
     listener ready_listener_;
     std::vector<std::unique_ptr<store_watch>> watches_;
+    store_watch* configuration_watch_ = nullptr; ///< one of watches_
     peer_link peers_;
     role_controller roles_;
     std::unique_ptr<exchange_sink> announcement_;
     exchange_id announce_exchange_ = 0;
     bool announced_ = false;
     instant announce_due_{};
+    instant hasten_due_{};
 
     std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::vector<std::unique_ptr<caller_connection>> closed_;
--- a/src/currantspar/gateway/load.capnp.h
+++ b/src/currantspar/gateway/load.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -104,6 +104,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
+  inline  ::uint64_t getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -159,6 +161,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CachedPart,  ::capnp::Kind::STRUCT>> disownParts();
 
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -489,6 +494,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LoadDigest::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadDigest::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadDigest::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CachedPart::Reader::getEngine() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -32,6 +32,7 @@
     root.setSender(digest.sender);
     root.setSequence(digest.sequence);
     root.setWhole(digest.whole);
+    root.setConfiguration(digest.configuration);
     const std::size_t count = std::min(digest.engines.size(), engines_most);
     auto engines = root.initEngines(static_cast<unsigned>(count));
     unsigned index = 0;
@@ -70,6 +71,7 @@
         digest.sender = root.getSender().cStr();
         digest.sequence = root.getSequence();
         digest.whole = root.getWhole();
+        digest.configuration = root.getConfiguration();
         for (const auto entry : root.getEngines()) {
             digest.engines[entry.getEngine()] = {static_cast<double>(entry.getReadMs()),
                                                  static_cast<std::int32_t>(entry.getRunning()),
@@ -125,14 +127,14 @@
     }
 }
 
-void peer_link::on_tick(relay::engine_choice& work, instant now)
+void peer_link::on_tick(relay::engine_choice& work, std::uint64_t configuration, instant now)
 {
     if (self_.empty() || now < news_due_) {
         return;
     }
     news_due_ = now + options_.news_period;
     const relay::engine_loads& own = work.own_work();
-    load_digest digest{self_, 0, now >= whole_due_, {}, work.take_news()};
+    load_digest digest{self_, 0, now >= whole_due_, {}, work.take_news(), configuration};
     if (digest.whole) {
         whole_due_ = now + options_.whole_period;
         forget_silent(now);
@@ -146,13 +148,14 @@
                 digest.engines.emplace(engine, load);
             }
         }
-        if (digest.engines.empty() && digest.parts.empty()) {
+        if (digest.engines.empty() && digest.parts.empty() && configuration == told_configuration_) {
             return;
         }
     }
     for (const auto& [engine, load] : digest.engines) {
         told_[engine] = load;
     }
+    told_configuration_ = configuration;
     digest.sequence = ++sequence_;
     send(digest);
 }
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -35,6 +35,12 @@
     }
 }
 
+void store_watch::restart(instant now)
+{
+    pool_.cancel(std::exchange(exchange_, 0));
+    due_ = now;
+}
+
 void store_watch::begin(instant now)
 {
     answer_ = {};
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t read_bytes = 65536;
 /// A connection whose other end has vanished is given up after about this long.
 constexpr int user_timeout_ms = 2500;
-constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -168,6 +168,11 @@
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
     std::set<backend_id> excluded = circuit_.avoided(servers, now);
     excluded.insert(req.excluded.begin(), req.excluded.end());
+    for (const auto& [engine, until] : lapsing_) {
+        if (now < until) {
+            excluded.insert(engine);
+        }
+    }
     auto chosen = engines_.choose(req.facts, traits, servers, excluded, now);
     if (!chosen) {
         chosen = engines_.choose(req.facts, traits, servers, req.excluded, now);
@@ -200,6 +205,7 @@
     req.sent = now;
     req.written = false;
     req.sends += 1;
+    spend_retry(req, stage);
     attempts_.emplace(attempt, it->first);
     health_[req.service].on_started(server.id);
     const std::string resume = stage == attempt_stage::read_prompt ? std::string() : req.last_event;
@@ -220,6 +226,14 @@
          {"predicted_ms", std::to_string(std::lround(req.where.first_event_ms))}}});
 }
 
+void relay_core::spend_retry(request& req, attempt_stage stage)
+{
+    bool& asked = stage == attempt_stage::read_prompt ? req.prompt_asked : req.run_asked;
+    if (std::exchange(asked, true)) {
+        budgets_.try_emplace(req.service, options_.retries).first->second.spend();
+    }
+}
+
 void relay_core::on_written(attempt_id attempt)
 {
     const auto it = find_attempt(attempt);
@@ -340,6 +354,9 @@
     if (how == attempt_failure::not_run && req.runs == 0) {
         req.may_have_run = false;
     }
+    if (req.stage == attempt_stage::take_over && how == attempt_failure::not_run) {
+        lapsing_[req.where.reader] = now + options_.handle_avoid;
+    }
     end_attempt(req, false, now);
     req.excluded.insert(server);
     out.push_back(log_decision{"attempt_failed", req.facts.id,
@@ -364,7 +381,8 @@
             return false;
         }
     }
-    return budgets_.try_emplace(req.service, options_.retries).first->second.available();
+    // Another try may ask for the prompt and for the run once more.
+    return budgets_.try_emplace(req.service, options_.retries).first->second.available(2);
 }
 
 void relay_core::retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
@@ -375,7 +393,6 @@
         fail(it, detail, now, out);
         return;
     }
-    budgets_.try_emplace(req.service, options_.retries).first->second.spend();
     dispatch(it, now, out);
 }
 
