--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -14,8 +14,8 @@
 #include <unistd.h>
 
 #include "currantspar/base/hash.hpp"
-#include "currantspar/node/runtime.hpp"
 #include "currantspar/io/test_socket.hpp"
+#include "currantspar/node/runtime.hpp"
 #include "currantspar/standin/http_platform.hpp"
 #include "support/results.hpp"
 #include "support/stamping_engine.hpp"
--- a/include/currantspar/gateway/event_splitter.hpp
+++ b/include/currantspar/gateway/event_splitter.hpp
@@ -6,8 +6,8 @@
 
 namespace currantspar::gateway {
 
-/// Cuts a stream of server-sent events at their ends, so that only whole events are passed on. The events stay
-/// byte for byte as they came. Not thread safe.
+/// Cuts a stream of server-sent events at their ends, so that only whole events are passed on. The events
+/// stay byte for byte as they came. Not thread safe.
 class event_splitter
 {
 public:
--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -25,7 +25,8 @@
 
     /// The first byte of the request was written.
     virtual void request_written() {}
-    /// The head of an answer arrived. False: it belongs to another request; it is skipped and the next one read.
+    /// The head of an answer arrived. False: it belongs to another request; it is skipped and the next one
+    /// read.
     virtual bool answer_head(int status, const http_fields& fields) = 0;
     virtual void answer_body(std::string_view bytes) = 0;
     virtual void answer_complete() = 0;
@@ -39,22 +40,23 @@
 struct server_pool_options
 {
     duration connect_timeout = std::chrono::milliseconds(400);
-    duration idle_most = std::chrono::seconds(4); ///< for servers that don't say how long they keep a connection
+    duration idle_most =
+        std::chrono::seconds(4); ///< for servers that don't say how long they keep a connection
     duration idle_margin = std::chrono::milliseconds(1200); ///< taken off what a server says
-    std::size_t idle_connections_most = 16; ///< kept to one server
+    std::size_t idle_connections_most = 16;                 ///< kept to one server
     reader_limits answers{65536, 16777216};
 };
 
-/// Connections to servers, kept open for the next request. One request at a time goes over a connection, and a
-/// connection on which a request was given up or an answer was spoilt is closed. Not thread safe.
+/// Connections to servers, kept open for the next request. One request at a time goes over a connection, and
+/// a connection on which a request was given up or an answer was spoilt is closed. Not thread safe.
 class server_pool
 {
 public:
     server_pool(ACE_Reactor& reactor, server_pool_options options);
     ~server_pool();
 
-    /// Sends a request to `IP:port`. `sink` must live until it was told the end or the exchange was cancelled;
-    /// it isn't called from within start().
+    /// Sends a request to `IP:port`. `sink` must live until it was told the end or the exchange was
+    /// cancelled; it isn't called from within start().
     exchange_id start(const std::string& address, std::string request, exchange_sink& sink, instant now);
     /// Closes the connection of an exchange; its sink isn't called again.
     void cancel(exchange_id exchange);
--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -11,9 +11,9 @@
 
 struct store_watch_options
 {
-    duration period{};          ///< between two reads; 0: the next read begins at once
-    duration initial_delay{};   ///< before the first read
-    duration wait{};            ///< how long the store may hold a read until records arrive
+    duration period{};        ///< between two reads; 0: the next read begins at once
+    duration initial_delay{}; ///< before the first read
+    duration wait{};          ///< how long the store may hold a read until records arrive
     duration answer_timeout = std::chrono::milliseconds(1100); ///< beyond `wait`
     duration retry_first = std::chrono::milliseconds(150);
     duration retry_most = std::chrono::milliseconds(500);
@@ -30,8 +30,8 @@
     std::function<void(instant)> back;                            ///< reads work again
 };
 
-/// Follows one topic of the shared store: lists its newest records, then reads on from there, and lists again when
-/// the store has dropped what comes next. Not thread safe.
+/// Follows one topic of the shared store: lists its newest records, then reads on from there, and lists again
+/// when the store has dropped what comes next. Not thread safe.
 class store_watch : private exchange_sink
 {
 public:
--- a/include/currantspar/gateway/wire_protocol.hpp
+++ b/include/currantspar/gateway/wire_protocol.hpp
@@ -24,8 +24,8 @@
     std::string peer_address;    ///< other nodes send datagrams here; empty: none
     std::string store_address;   ///< the shared store
     duration retry_window = std::chrono::seconds(10);
-    double retry_ratio = 0.1;    ///< retries that each request earns, over all nodes
-    double retry_reserve = 20;   ///< retries in one window besides, over all nodes
+    double retry_ratio = 0.1;                 ///< retries that each request earns, over all nodes
+    double retry_reserve = 20;                ///< retries in one window besides, over all nodes
     duration grace = std::chrono::seconds(8); ///< from the signal to stop until the process is killed
 };
 
@@ -58,8 +58,8 @@
 struct role_order
 {
     config::engine_role role = config::engine_role::prefill;
-    std::string holder;            ///< who orders
-    std::uint64_t token = 0;       ///< the fencing token
+    std::string holder;              ///< who orders
+    std::uint64_t token = 0;         ///< the fencing token
     std::uint64_t orders_before = 0; ///< the engine refuses when it has accepted another number
 };
 
@@ -74,7 +74,7 @@
 struct newest_page
 {
     std::vector<keyed_record> records;
-    bool more = false; ///< another page follows the last key
+    bool more = false;     ///< another page follows the last key
     std::uint64_t end = 0; ///< the topic's end when the page was made
 };
 
@@ -82,8 +82,8 @@
 struct record_batch
 {
     std::vector<keyed_record> records;
-    std::uint64_t next = 0;   ///< where to read on
-    bool compacted = false;   ///< records from the asked offset are gone; read the newest ones
+    std::uint64_t next = 0; ///< where to read on
+    bool compacted = false; ///< records from the asked offset are gone; read the newest ones
 };
 
 /// How the gateway's requests, answers and store calls look on the wire of one kind of platform. An adapter
@@ -118,10 +118,13 @@
 
     // The shared store.
 
-    [[nodiscard]] virtual std::string encode_newest(shared_topic topic, const std::string& after_key) const = 0;
+    [[nodiscard]] virtual std::string encode_newest(shared_topic topic,
+                                                    const std::string& after_key) const = 0;
     [[nodiscard]] virtual result<newest_page> decode_newest(const http_answer& answer) const = 0;
-    [[nodiscard]] virtual std::string encode_read(shared_topic topic, std::uint64_t from, duration wait) const = 0;
-    [[nodiscard]] virtual result<record_batch> decode_read(const http_answer& answer, std::uint64_t from) const = 0;
+    [[nodiscard]] virtual std::string encode_read(shared_topic topic, std::uint64_t from,
+                                                  duration wait) const = 0;
+    [[nodiscard]] virtual result<record_batch> decode_read(const http_answer& answer,
+                                                           std::uint64_t from) const = 0;
     [[nodiscard]] virtual std::string encode_put(shared_topic topic, const std::string& key,
                                                  const std::string& value) const = 0;
 
--- a/include/currantspar/io/log.hpp
+++ b/include/currantspar/io/log.hpp
@@ -37,8 +37,8 @@
 void configure_log(const std::string& level, config::log_format format,
                    log_target target = log_target::standard_error);
 
-/// Writes one line about an event to the log's target. An event that repeats more than a few times a second is
-/// counted instead and the count is written with its next line. Thread safe.
+/// Writes one line about an event to the log's target. An event that repeats more than a few times a second
+/// is counted instead and the count is written with its next line. Thread safe.
 void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields = {});
 
 } // namespace currantspar::io
--- a/include/currantspar/node/operations.hpp
+++ b/include/currantspar/node/operations.hpp
@@ -6,10 +6,10 @@
 #include <mutex>
 #include <string>
 
+#include "currantspar/io/admin_server.hpp"
 #include "currantspar/node/metrics.hpp"
 #include "currantspar/node/status.hpp"
 #include "currantspar/node/timeline_store.hpp"
-#include "currantspar/io/admin_server.hpp"
 
 namespace currantspar::node {
 
--- a/include/currantspar/node/runtime.hpp
+++ b/include/currantspar/node/runtime.hpp
@@ -18,8 +18,8 @@
 {
     bool handle_signals = false; ///< SIGTERM and SIGINT stop the node; only one node of a process may
     duration tick = std::chrono::milliseconds(10);
-    std::map<std::string, io::admin_page> pages; ///< more pages, or others, on the admin port
-    std::function<void(core::core_options&)> adjust;   ///< last word on the core's options
+    std::map<std::string, io::admin_page> pages;     ///< more pages, or others, on the admin port
+    std::function<void(core::core_options&)> adjust; ///< last word on the core's options
     bool observe = true; ///< false: neither time line nor metrics, to measure their cost
 };
 
--- a/include/currantspar/relay/engine_choice.hpp
+++ b/include/currantspar/relay/engine_choice.hpp
@@ -15,10 +15,10 @@
 /// How fast an engine works; the estimates are corrected by what is measured.
 struct engine_speed
 {
-    double read_tokens_per_ms = 64;      ///< prompt tokens at a prefill engine
-    double decode_read_share = 0.5;      ///< of that speed, at a decode engine
-    double attention_ms_per_million = 0.65; ///< for each million pairs of a new token and an earlier one
-    double step_ms = 4.3;                ///< one token for each running request
+    double read_tokens_per_ms = 64;          ///< prompt tokens at a prefill engine
+    double decode_read_share = 0.5;          ///< of that speed, at a decode engine
+    double attention_ms_per_million = 0.65;  ///< for each million pairs of a new token and an earlier one
+    double step_ms = 4.3;                    ///< one token for each running request
     double context_ms_per_thousand = 0.0086; ///< added to a step for each thousand tokens of context
     double transfer_setup_ms = 2.7;
 };
@@ -27,30 +27,32 @@
 {
     data_centre_id data_centre;
     engine_speed speed{};
-    duration part_memory = std::chrono::seconds(12); ///< how long a part that was read counts as cached
+    duration part_memory = std::chrono::seconds(20); ///< how long a part that was read counts as cached
     duration peer_load_age = std::chrono::milliseconds(2500); ///< older loads of peers are forgotten
     duration part_news_age = std::chrono::seconds(3); ///< a part that was used again later is told again
-    double reread_ms_per_thousand = 12;  ///< cost above its time of reading a thousand shared tokens again
-    double far_ms = 4;                   ///< cost of an engine in another data centre
-    double decode_interference = 4.0;    ///< cost for the streams of a decode engine that reads, of its time
+    double reread_ms_per_thousand =
+        12;              ///< cost above its time of reading a thousand tokens that another engine has cached
+    double home_ms = 25; ///< gain of a part's home, so that nodes agree on it while it is cold
+    double far_ms = 4;   ///< cost of an engine in another data centre
+    double decode_interference = 4.0; ///< cost for the streams of a decode engine that reads, of its time
 };
 
 /// Where a request's prompt is read and where its answer is made.
 struct placement
 {
-    backend_id reader;  ///< computes the prompt; empty: the decoder does it
-    backend_id decoder; ///< makes the answer
-    double read_ms = 0; ///< work that reading the prompt adds to its engine
-    double first_event_ms = 0; ///< predicted time to the first event
+    backend_id reader;               ///< computes the prompt; empty: the decoder does it
+    backend_id decoder;              ///< makes the answer
+    double read_ms = 0;              ///< work that reading the prompt adds to its engine
+    double first_event_ms = 0;       ///< predicted time to the first event
     std::uint32_t cached_tokens = 0; ///< of the prompt, expected at the engine that reads it
 };
 
 /// Work that one node has at an engine.
 struct engine_work
 {
-    double read_ms = 0;        ///< prompts not read yet
-    std::int32_t running = 0;  ///< requests sent and not ended
-    std::int64_t tokens = 0;   ///< of these requests, prompt and answer
+    double read_ms = 0;       ///< prompts not read yet
+    std::int32_t running = 0; ///< requests sent and not ended
+    std::int64_t tokens = 0;  ///< of these requests, prompt and answer
 };
 
 /// Work at engines, by the hash of the engine's name.
@@ -66,9 +68,10 @@
 /// The number under which nodes name an engine to each other. Thread safe.
 [[nodiscard]] std::uint64_t engine_number(const backend_id& engine);
 
-/// Chooses engines for prompts that share parts. A part that no engine has read yet goes to its home, the same at
-/// every node without a message (rendezvous hashing). Nodes tell each other where parts were read; a request goes to
-/// another engine when that is predicted to answer first even though it must read the part again. Not thread safe.
+/// Chooses engines for prompts that share parts. A part that no engine has read yet goes to its home, the
+/// same at every node without a message (rendezvous hashing). Nodes tell each other where parts were read; a
+/// request goes to another engine when that is predicted to answer first even though it must read the part
+/// again. Not thread safe.
 class engine_choice
 {
 public:
@@ -79,10 +82,14 @@
                                                   const std::vector<server_entry>& engines,
                                                   const std::set<backend_id>& excluded, instant now) const;
 
+    /// The engine with the fewest requests among those that make answers; null when there is none.
+    [[nodiscard]] const server_entry* least_busy_decoder(const std::vector<server_entry>& engines,
+                                                         const std::set<backend_id>& excluded) const;
+
     /// An attempt was sent by this node.
     void on_sent(attempt_id attempt, const placement& chosen, const request_facts& request, instant now);
     /// Its prompt has been read: the handle or the first event arrived.
-    void on_read(attempt_id attempt, instant now);
+    void on_read(attempt_id attempt);
     /// It ended, however.
     void on_ended(attempt_id attempt);
     /// An engine restarted or left: what it had cached is gone.
@@ -90,7 +97,8 @@
 
     /// What this node has at each engine, for its peers.
     [[nodiscard]] const engine_loads& own_work() const { return own_; }
-    /// Shared parts that engines read for this node and that its peers should know; each is told once in a while.
+    /// Shared parts that engines read for this node and that its peers should know; each is told once in a
+    /// while.
     [[nodiscard]] std::vector<cached_part> take_news();
     /// A peer had these parts read.
     void on_peer_parts(const std::vector<cached_part>& parts, instant now);
@@ -119,11 +127,15 @@
     void change_total(const engine_loads& work, int sign);
     [[nodiscard]] std::uint32_t cached_tokens(const request_facts& request, std::uint64_t engine,
                                               instant now) const;
+    [[nodiscard]] std::vector<std::uint32_t> cached_at(const request_facts& request,
+                                                       const std::vector<const server_entry*>& engines,
+                                                       instant now) const;
     [[nodiscard]] double read_ms(const request_facts& request, std::uint32_t cached, bool decoder) const;
     [[nodiscard]] double decode_wait_ms(const engine_work& load, const engine_traits& traits,
                                         const request_facts& request) const;
-    [[nodiscard]] estimate weigh_reader(const server_entry& engine, const request_facts& request, bool home,
-                                        bool decoder, instant now) const;
+    [[nodiscard]] estimate weigh_reader(const server_entry& engine, const request_facts& request,
+                                        std::uint32_t cached, std::uint32_t best_cached, bool home,
+                                        bool decoder) const;
 
     engine_choice_options options_;
     engine_loads own_;
@@ -140,7 +152,8 @@
 [[nodiscard]] std::uint64_t sharing_key(const request_facts& request);
 
 /// The engine whose rendezvous rank for a key is highest; null when there are none. Thread safe.
-[[nodiscard]] const server_entry* home_engine(std::uint64_t key, const std::vector<const server_entry*>& engines);
+[[nodiscard]] const server_entry* home_engine(std::uint64_t key,
+                                              const std::vector<const server_entry*>& engines);
 
 } // namespace currantspar::relay
 
--- a/include/currantspar/relay/lease.hpp
+++ b/include/currantspar/relay/lease.hpp
@@ -24,10 +24,11 @@
     claim, ///< append a claim under the condition that nothing came since the read
 };
 
-/// Authority to order engines, by claims in the shared store. A claim is appended under the condition that the
-/// topic ends where this node last read it, so of two claims one fails; its offset is the fencing token. A claim
-/// isn't renewed: its holder acts for `hold`, and a successor claims only when it has known the last claim for
-/// `hold + apart`. All times are of a clock that counts while the machine is suspended. Not thread safe.
+/// Authority to order engines, by claims in the shared store. A claim is appended under the condition that
+/// the topic ends where this node last read it, so of two claims one fails; its offset is the fencing token.
+/// A claim isn't renewed: its holder acts for `hold`, and a successor claims only when it has known the last
+/// claim for `hold + apart`. All times are of a clock that counts while the machine is suspended. Not thread
+/// safe.
 class lease
 {
 public:
@@ -51,13 +52,13 @@
 
 private:
     lease_options options_;
-    bool busy_ = false;      ///< a call is on its way
-    bool known_ = false;     ///< end_ is what the topic ended with when it was last read
-    bool claimed_ = false;   ///< token_ is this node's
+    bool busy_ = false;    ///< a call is on its way
+    bool known_ = false;   ///< end_ is what the topic ended with when it was last read
+    bool claimed_ = false; ///< token_ is this node's
     std::uint64_t end_ = 0;
     std::optional<std::uint64_t> newest_;
     std::uint64_t token_ = 0;
-    instant newest_seen_{};  ///< when newest_ was first read
+    instant newest_seen_{}; ///< when newest_ was first read
     instant call_sent_{};
     instant act_until_{};
     instant again_at_{};
--- a/include/currantspar/relay/model.hpp
+++ b/include/currantspar/relay/model.hpp
@@ -37,12 +37,12 @@
     std::string host;
     std::string path_prefix; ///< begins and ends with a slash
     repetition kind = repetition::at_most_once;
-    duration timeout{};             ///< a caller is answered before
-    duration target{};              ///< latency objective: to the answer, or to a stream's first event
-    duration pause_target{};        ///< longest pause between two events of a stream that is in time
-    unsigned priority = 0;          ///< 0 is served first
-    unsigned max_attempts = 1;      ///< servers on which one request may run
-    bool resumable = false;         ///< a broken stream may go on at another server
+    duration timeout{};        ///< a caller is answered before
+    duration target{};         ///< latency objective: to the answer, or to a stream's first event
+    duration pause_target{};   ///< longest pause between two events of a stream that is in time
+    unsigned priority = 0;     ///< 0 is served first
+    unsigned max_attempts = 1; ///< servers on which one request may run
+    bool resumable = false;    ///< a broken stream may go on at another server
     std::vector<weighted_service> services;
 };
 
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -22,15 +22,17 @@
 {
     data_centre_id data_centre;
     std::uint64_t seed = 0;
-    policy::retry_budget_options retries{}; ///< this node's part of what all nodes may add
+    double retries_per_request = 0.1; ///< arrivals beyond the first that each request allows
+    double retries_reserve = 20;      ///< arrivals beyond the first besides, over all nodes
     engine_choice_options engines{};
     duration least_time = std::chrono::milliseconds(8); ///< with less left, a request isn't sent
     duration no_server_retry = std::chrono::milliseconds(700);
     duration full_retry = std::chrono::milliseconds(400);
-    unsigned most_sends = 6;                                     ///< of one request, refusals included
-    double hedge_factor = 8;                                     ///< idempotent: silent after this many objectives
-    duration handle_avoid = std::chrono::seconds(2); ///< an engine whose prompts couldn't be taken over reads none
-    duration read_grace = std::chrono::milliseconds(1500);        ///< a prompt that takes longer is read elsewhere
+    unsigned most_sends = 6; ///< of one request, refusals included
+    double hedge_factor = 8; ///< idempotent: silent after this many objectives
+    duration handle_avoid =
+        std::chrono::seconds(2); ///< an engine whose prompts couldn't be taken over reads none
+    duration read_grace = std::chrono::milliseconds(1500); ///< a prompt that takes longer is read elsewhere
 };
 
 /// How an attempt came to its end without a whole answer.
@@ -41,8 +43,8 @@
     lost,        ///< reset, closed, spoilt or silent: it may have run
 };
 
-/// Decides what becomes of each request of the callers: the one place that knows which of them may be sent again.
-/// It does no I/O: each call returns what is to be done. Not thread safe.
+/// Decides what becomes of each request of the callers: the one place that knows which of them may be sent
+/// again. It does no I/O: each call returns what is to be done. Not thread safe.
 class relay_core
 {
 public:
@@ -56,9 +58,14 @@
     [[nodiscard]] const server_directory& directory() const { return directory_; }
     [[nodiscard]] const routing_table& routes() const { return routes_; }
     [[nodiscard]] engine_choice& engines() { return engines_; }
+    /// The servers of a service that are open and that this node's requests reach.
+    [[nodiscard]] std::vector<server_entry> answering_servers(const service_id& service, instant now) const;
     /// True when requests can be served: a configuration and servers are known.
     [[nodiscard]] bool ready() const;
 
+    /// How many nodes share the budget of retries, this one included. Precondition: nodes > 0.
+    void on_nodes(std::size_t nodes);
+
     // Callers.
 
     [[nodiscard]] relay_effects on_request(request_number number, request_facts facts, instant now);
@@ -73,7 +80,7 @@
     /// The head of a stream arrived.
     [[nodiscard]] relay_effects on_stream_head(attempt_id attempt, instant now);
     /// Whole events of a stream arrived; `last_event` is the id of the last one.
-    void on_events(attempt_id attempt, const std::string& last_event, instant now);
+    [[nodiscard]] relay_effects on_events(attempt_id attempt, const std::string& last_event, instant now);
     /// A stream came to its proper end.
     [[nodiscard]] relay_effects on_stream_end(attempt_id attempt, instant now);
     /// An answer that isn't a stream is whole.
@@ -99,10 +106,12 @@
         instant arrived{};
         instant give_up_at{};
         std::set<backend_id> excluded;
-        unsigned sends = 0; ///< attempts written or tried
-        bool prompt_asked = false; ///< an engine was asked to read the prompt before
-        bool run_asked = false;    ///< a server was asked to run the request before
-        unsigned runs = 0;  ///< attempts that may have run
+        unsigned sends = 0;          ///< attempts written or tried
+        bool prompt_asked = false;   ///< an engine was asked to read the prompt before
+        bool run_asked = false;      ///< a server was asked to run the request before
+        std::string handle;          ///< the computed prompt at `where.reader`; empty: none
+        bool handle_refused = false; ///< a decoder refused to take the prompt over
+        unsigned runs = 0;           ///< attempts that may have run
         bool may_have_run = false;
         bool streaming = false; ///< the caller has the head of a stream
         std::string last_event;
@@ -113,16 +122,24 @@
         backend_id server;
         instant sent{};
         bool written = false;
+        bool has_events = false;
+        instant last_event_at{};
+        duration longest_pause{};
     };
 
     using request_map = std::map<request_number, request>;
 
+    [[nodiscard]] policy::retry_budget& budget(const service_id& service);
     [[nodiscard]] request_map::iterator find_attempt(attempt_id attempt);
     void dispatch(request_map::iterator it, instant now, relay_effects& out);
     void dispatch_call(request_map::iterator it, instant now, relay_effects& out);
-    void dispatch_generation(request_map::iterator it, const engine_traits& traits, instant now, relay_effects& out);
-    void send(request_map::iterator it, const server_entry& server, attempt_stage stage, const std::string& handle,
-              const std::string& handle_address, instant now, relay_effects& out);
+    void dispatch_generation(request_map::iterator it, const engine_traits& traits, instant now,
+                             relay_effects& out);
+    void send(request_map::iterator it, const server_entry& server, attempt_stage stage,
+              const std::string& handle, const std::string& handle_address, instant now, relay_effects& out);
+    /// Another decoder is asked for a prompt that one refused, as that may have been full. False: there is
+    /// none.
+    bool take_over_elsewhere(request_map::iterator it, instant now, relay_effects& out);
     void take_over(request_map::iterator it, const std::string& handle, instant now, relay_effects& out);
     /// Takes an arrival beyond a request's first one from the budget.
     void spend_retry(request& req, attempt_stage stage);
@@ -133,10 +150,10 @@
                        relay_effects& out);
     /// Tells the caller that the request can't be answered, as truthfully as it is known.
     void fail(request_map::iterator it, const std::string& reason, instant now, relay_effects& out);
-    void refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason, instant now,
-                relay_effects& out);
-    void finish(request_map::iterator it, core::request_outcome outcome, const std::string& reason, instant now,
-                relay_effects& out);
+    void refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason,
+                instant now, relay_effects& out);
+    void finish(request_map::iterator it, core::request_outcome outcome, const std::string& reason,
+                instant now, relay_effects& out);
 
     relay_options options_;
     random_generator random_;
@@ -146,6 +163,7 @@
     server_circuit circuit_;
     std::map<backend_id, instant> lapsing_; ///< engines whose prompts couldn't be taken over, until when
     std::map<service_id, policy::backend_health> health_;
+    policy::retry_budget_options retries_;
     std::map<service_id, policy::retry_budget> budgets_;
     std::map<service_id, core::ledger_account> accounts_;
     request_map requests_;
--- a/include/currantspar/relay/role_plan.hpp
+++ b/include/currantspar/relay/role_plan.hpp
@@ -8,15 +8,17 @@
 
 namespace currantspar::relay {
 
-/// The pattern: prompts are long and answers short, so reading prompts takes most of the engines' time, while a
-/// decode engine carries dozens of answers at once as long as it reads nothing.
+/// The pattern: prompts are long and answers short, so reading prompts takes most of the engines' time, while
+/// a decode engine carries dozens of answers at once as long as it reads nothing.
 struct role_plan_options
 {
-    double reader_share = 0.78;     ///< of a service's engines, that only read prompts
-    unsigned decoders_least = 3;    ///< engines that make answers; fewer only when there are fewer engines
-    unsigned tolerance = 1;         ///< engines off the share that are left as they are
-    unsigned changes_most = 8;      ///< at one time while no request is served
-    unsigned changes_serving = 2;   ///< at one time while requests are served
+    double reader_share = 0.78;   ///< of a service's engines, that only read prompts
+    unsigned decoders_least = 3;  ///< engines that make answers; fewer only when there are fewer engines
+    unsigned readers_missing = 1; ///< readers below the share that are left as they are
+    unsigned readers_missing_serving = 2; ///< the same while requests are served
+    unsigned readers_beyond = 0;          ///< readers above the share that are left as they are
+    unsigned changes_most = 8;            ///< at one time while no request is served
+    unsigned changes_serving = 2;         ///< at one time while requests are served
 };
 
 /// A change of one engine's role.
@@ -26,8 +28,9 @@
     config::engine_role role = config::engine_role::prefill;
 };
 
-/// The changes that bring a service's open engines to the plan, leaving out engines in `changing`, which count as
-/// changed already. Deterministic: each node plans the same from the same entries. Thread safe.
+/// The changes that bring a service's engines to the plan. `engines` holds those that are open and answer;
+/// those in `changing` count as changed already. Deterministic: each node plans the same from the same
+/// entries. Thread safe.
 [[nodiscard]] std::vector<role_change> plan_roles(const std::vector<server_entry>& engines,
                                                   const std::set<backend_id>& changing, bool serving,
                                                   const role_plan_options& options);
--- a/include/currantspar/relay/server_circuit.hpp
+++ b/include/currantspar/relay/server_circuit.hpp
@@ -11,14 +11,14 @@
 
 struct circuit_options
 {
-    unsigned failures_to_open = 2;                         ///< in a row
+    unsigned failures_to_open = 2; ///< in a row
     duration open_first = std::chrono::milliseconds(800);
     duration open_most = std::chrono::seconds(4);
     double open_share_most = 0.6; ///< of a service's servers that may be avoided at once
 };
 
-/// Which servers to avoid because this node's own requests to them failed. A server is tried again when its time
-/// has passed, and when too many of a service would be avoided, none is. Not thread safe.
+/// Which servers to avoid because this node's own requests to them failed. A server is tried again when its
+/// time has passed, and when too many of a service would be avoided, none is. Not thread safe.
 class server_circuit
 {
 public:
--- a/src/currantspar/cli/demo_command.cpp
+++ b/src/currantspar/cli/demo_command.cpp
@@ -189,7 +189,7 @@
     bool book_twice()
     {
         const std::vector<io::http_header> headers{{"Idempotency-Key", "demo-booking-1"},
-                                                         {"X-Test-Tag", "demo-booking-1"}};
+                                                   {"X-Test-Tag", "demo-booking-1"}};
         const auto callers = installation_.caller_addresses();
         const call_result first = call(http_, callers[1], "/orders/bookings", R"({"gaskets": 12})", headers);
         const call_result second = call(http_, callers[2], "/orders/bookings", R"({"gaskets": 12})", headers);
--- a/src/currantspar/cli/fetch.cpp
+++ b/src/currantspar/cli/fetch.cpp
@@ -80,8 +80,7 @@
     return to_json_answer(start_get(client, address, path, limit).get(), address, path);
 }
 
-std::vector<node_answer> fetch_statuses(io::http_client& client,
-                                        const std::vector<std::string>& addresses)
+std::vector<node_answer> fetch_statuses(io::http_client& client, const std::vector<std::string>& addresses)
 {
     std::vector<answer_future> started;
     started.reserve(addresses.size());
--- a/src/currantspar/cli/fetch.hpp
+++ b/src/currantspar/cli/fetch.hpp
@@ -6,8 +6,8 @@
 
 #include "currantspar/base/json.hpp"
 #include "currantspar/base/result.hpp"
-#include "currantspar/node/status.hpp"
 #include "currantspar/io/http_client.hpp"
+#include "currantspar/node/status.hpp"
 
 namespace currantspar::cli {
 
--- a/src/currantspar/cli/gateway_command.cpp
+++ b/src/currantspar/cli/gateway_command.cpp
@@ -7,7 +7,8 @@
 
 int run_gateway(const arguments& given)
 {
-    argument_parser parser(given, "Runs one node on the users' platform until SIGTERM; SIGHUP reads the settings again.");
+    argument_parser parser(
+        given, "Runs one node on the users' platform until SIGTERM; SIGHUP reads the settings again.");
     TCLAP::ValueArg<std::string> settings("", "settings", "the settings that the platform writes", false,
                                           adapter::default_settings_path(), "FILE", parser.line());
     parser.parse();
--- a/src/currantspar/cli/timeline_command.cpp
+++ b/src/currantspar/cli/timeline_command.cpp
@@ -89,8 +89,7 @@
     if (!back) {
         throw TCLAP::CmdLineParseException("expected a duration such as 10m, found " + text, "since");
     }
-    const wall_time since =
-        io::wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(*back);
+    const wall_time since = io::wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(*back);
     return std::to_string(since.time_since_epoch().count());
 }
 
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-caller_connection::caller_connection(ACE_Reactor& reactor, caller_sink& sink, reader_limits limits, instant now)
+caller_connection::caller_connection(ACE_Reactor& reactor, caller_sink& sink, reader_limits limits,
+                                     instant now)
     : tcp_connection(reactor), sink_(sink), limits_(limits), since_(now)
 {}
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -14,8 +14,8 @@
 constexpr int status_unavailable = 503;
 constexpr int first_failure = 300;
 constexpr int status_misdirected = 421;
-/// The share of all nodes' retries that one node may use while it doesn't know how many there are.
-constexpr double retry_share = 1.0 / 16;
+/// The share of the allowed retries that is used, as nodes count each other late.
+constexpr double retry_margin = 0.8;
 /// From the signal to stop until idle connections are closed: the load balancer has left by then.
 constexpr duration balancer_leaves = std::chrono::milliseconds(2600);
 /// Kept free before the process would be killed.
@@ -26,7 +26,8 @@
 /// By then nodes that started together have written their records.
 constexpr duration node_list_delay = std::chrono::milliseconds(1200);
 constexpr duration announce_retry = std::chrono::seconds(2);
-/// Reads of the configuration are held between these times, drawn for each node so that they don't end together.
+/// Reads of the configuration are held between these times, drawn for each node so that they don't end
+/// together.
 constexpr duration configuration_wait_least = std::chrono::milliseconds(2500);
 constexpr duration configuration_wait_spread = std::chrono::milliseconds(2500);
 /// Between two early reads of the configuration that peers' digests cause.
@@ -39,7 +40,8 @@
     relay::relay_options options;
     options.data_centre = settings.data_centre;
     options.seed = fast_hash(settings.node);
-    options.retries = {settings.retry_ratio * 0.8, std::max(2.0, settings.retry_reserve * 0.8 * retry_share)};
+    options.retries_per_request = settings.retry_ratio * retry_margin;
+    options.retries_reserve = settings.retry_reserve * retry_margin;
     return options;
 }
 
@@ -84,7 +86,10 @@
 
     void answer_body(std::string_view bytes) override { node_.on_body(*this, bytes); }
     void answer_complete() override { node_.on_complete(*this); }
-    void request_failed(bool written, const std::string& detail) override { node_.on_failed(*this, written, detail); }
+    void request_failed(bool written, const std::string& detail) override
+    {
+        node_.on_failed(*this, written, detail);
+    }
 
     /// A success that is provably the server's answer to this request.
     [[nodiscard]] bool genuine_success() const
@@ -118,7 +123,8 @@
 
     void accept(ACE_SOCK_Stream& accepted)
     {
-        auto fresh = std::make_unique<caller_connection>(node_.reactor_, *this, reader_limits{}, io::monotonic_now());
+        auto fresh =
+            std::make_unique<caller_connection>(node_.reactor_, *this, reader_limits{}, io::monotonic_now());
         if (fresh->accept(accepted)) {
             caller_connection* key = fresh.get();
             connections_.emplace(key, std::move(fresh));
@@ -377,7 +383,8 @@
     if (const caller* to = find_caller(from.request); to != nullptr) {
         to->connection->continue_answer(whole);
     }
-    core_.on_events(from.number, from.events.last_id(), io::monotonic_now());
+    const instant now = io::monotonic_now();
+    run(core_.on_events(from.number, from.events.last_id(), now), now);
 }
 
 void gateway_node::on_complete(attempt& from)
@@ -393,18 +400,19 @@
             effects = core_.on_stream_end(number, now);
         }
     } else if (facts.not_run || facts.status == status_misdirected) {
-        effects = core_.on_failure(number, relay::attempt_failure::not_run, "status " + std::to_string(facts.status), now);
+        effects = core_.on_failure(number, relay::attempt_failure::not_run,
+                                   "status " + std::to_string(facts.status), now);
     } else if (from.stage == relay::attempt_stage::read_prompt) {
         const auto handle = wire_.decode_prompt_handle(from.body);
         effects = facts.status == status_ok && handle
                       ? core_.on_prompt_read(number, *handle, now)
-                      : core_.on_failure(number, relay::attempt_failure::lost, "prompt not read: status " +
-                                             std::to_string(facts.status), now);
+                      : core_.on_failure(number, relay::attempt_failure::lost,
+                                         "prompt not read: status " + std::to_string(facts.status), now);
     } else if (facts.status < first_failure && !from.genuine_success()) {
         effects = core_.on_failure(number, relay::attempt_failure::lost, "answer without proof", now);
     } else if (is_promise(facts.status)) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost, "unproven status " +
-                                       std::to_string(facts.status), now);
+        effects = core_.on_failure(number, relay::attempt_failure::lost,
+                                   "unproven status " + std::to_string(facts.status), now);
     } else {
         effects = core_.on_answer(number, facts, now);
     }
@@ -437,16 +445,20 @@
 {
     store_watch_options configuration;
     random_generator draw(fast_hash(settings_.node));
-    configuration.wait = configuration_wait_least + from_seconds(to_seconds(configuration_wait_spread) * draw.unit());
+    configuration.wait =
+        configuration_wait_least + from_seconds(to_seconds(configuration_wait_spread) * draw.unit());
     watches_.push_back(std::make_unique<store_watch>(
         store_, wire_, settings_.store_address, shared_topic::configuration, configuration,
         store_watch_handlers{
             [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
             [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
             [](const std::string& reason, instant) {
-                io::log_event(io::log_level::warning, "store_lost", {{"topic", "configuration"}, {"reason", reason}});
+                io::log_event(io::log_level::warning, "store_lost",
+                              {{"topic", "configuration"}, {"reason", reason}});
             },
-            [](instant) { io::log_event(io::log_level::info, "store_back", {{"topic", "configuration"}}); }}));
+            [](instant) {
+                io::log_event(io::log_level::info, "store_back", {{"topic", "configuration"}});
+            }}));
     configuration_watch_ = watches_.back().get();
     store_watch_options servers;
     servers.period = server_poll_period;
@@ -454,11 +466,14 @@
         store_, wire_, settings_.store_address, shared_topic::servers, servers,
         store_watch_handlers{
             [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, true, now); },
-            [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, false, now); },
+            [this](const std::vector<keyed_record>& records, instant now) {
+                on_servers(records, false, now);
+            },
             [this](const std::string& reason, instant now) {
                 core_.directory().on_store_lost(now);
                 configuration_watch_->restart(now);
-                io::log_event(io::log_level::warning, "store_lost", {{"topic", "servers"}, {"reason", reason}});
+                io::log_event(io::log_level::warning, "store_lost",
+                              {{"topic", "servers"}, {"reason", reason}});
             },
             [this](instant now) {
                 core_.directory().on_store_back(now);
@@ -479,7 +494,9 @@
             [](const std::string& reason, instant) {
                 io::log_event(io::log_level::warning, "store_lost", {{"topic", "nodes"}, {"reason", reason}});
             },
-            [](instant) { io::log_event(io::log_level::info, "store_back", {{"topic", "nodes"}}); }}));
+            [](instant) {
+                io::log_event(io::log_level::info, "store_back", {{"topic", "nodes"}});
+            }}));
 }
 
 void gateway_node::on_nodes(const std::vector<keyed_record>& records, instant now)
@@ -499,7 +516,8 @@
     if (digest.configuration > own && now >= hasten_due_) {
         hasten_due_ = now + hasten_period;
         io::log_event(io::log_level::info, "configuration_behind",
-                      {{"peer", digest.sender}, {"own", std::to_string(own)},
+                      {{"peer", digest.sender},
+                       {"own", std::to_string(own)},
                        {"peers", std::to_string(digest.configuration)}});
         configuration_watch_->restart(now);
     }
@@ -519,8 +537,9 @@
     announce_due_ = now + announce_retry;
     store_.cancel(announce_exchange_);
     announcement_ = std::make_unique<announcement>(*this);
-    announce_exchange_ = store_.start(settings_.store_address,
-                 wire_.encode_put(shared_topic::nodes, settings_.peer_address, settings_.node), *announcement_, now);
+    announce_exchange_ = store_.start(
+        settings_.store_address,
+        wire_.encode_put(shared_topic::nodes, settings_.peer_address, settings_.node), *announcement_, now);
 }
 
 void gateway_node::on_configuration(const std::vector<keyed_record>& records, instant)
@@ -529,7 +548,9 @@
         const auto config = wire_.decode_config(record);
         if (!config) {
             io::log_event(io::log_level::warning, "configuration_unreadable",
-                          {{"key", record.key}, {"offset", std::to_string(record.offset)}, {"reason", config.error().message}});
+                          {{"key", record.key},
+                           {"offset", std::to_string(record.offset)},
+                           {"reason", config.error().message}});
             continue;
         }
         if (*config == nullptr) {
@@ -570,7 +591,8 @@
         }
         const relay::entry_change change = core_.directory().put(*entry, now);
         if (change != relay::entry_change::none) {
-            io::log_event(io::log_level::info, change == relay::entry_change::closed ? "server_draining" : "server_changed",
+            io::log_event(io::log_level::info,
+                          change == relay::entry_change::closed ? "server_draining" : "server_changed",
                           {{"server", record.key},
                            {"service", entry->service.str()},
                            {"address", entry->address},
@@ -597,6 +619,7 @@
     if (!stopping_) {
         roles_.on_tick(peers_.place(), now);
     }
+    core_.on_nodes(peers_.live_nodes());
     run(core_.on_tick(now), now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
@@ -626,7 +649,8 @@
 {
     if (!std::exchange(stopping_, true)) {
         stop_began_ = now;
-        io::log_event(io::log_level::info, "stopping", {{"open_requests", std::to_string(core_.open_requests())}});
+        io::log_event(io::log_level::info, "stopping",
+                      {{"open_requests", std::to_string(core_.open_requests())}});
     }
 }
 
--- a/src/currantspar/gateway/http_message.cpp
+++ b/src/currantspar/gateway/http_message.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> connection_fields = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",    "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+    "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",  "Content-Length",
+    "Expect"};
 
 std::string_view trimmed(std::string_view text)
 {
--- a/src/currantspar/gateway/listener.cpp
+++ b/src/currantspar/gateway/listener.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-listener::listener(ACE_Reactor& reactor, accept_handler accepted) : reactor_(reactor), accepted_(std::move(accepted))
+listener::listener(ACE_Reactor& reactor, accept_handler accepted)
+    : reactor_(reactor), accepted_(std::move(accepted))
 {}
 
 listener::~listener()
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -62,8 +62,7 @@
 {
     load_digest digest;
     const auto problem = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         capnp::ReaderOptions limits;
         limits.traversalLimitInWords = traversal_words;
         capnp::PackedMessageReader message(in, limits);
@@ -81,7 +80,7 @@
             digest.parts.push_back({part.getEngine(), part.getPart()});
         }
     });
-    KJ_IF_MAYBE(exception, problem) {
+    KJ_IF_MAYBE (exception, problem) {
         return fail(error_kind::invalid, exception->getDescription().cStr());
     }
     return digest;
@@ -171,7 +170,8 @@
 
 void peer_link::forget_silent(instant now)
 {
-    std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heard > options_.peer_timeout; });
+    std::erase_if(peers_,
+                  [&](const auto& entry) { return now - entry.second.heard > options_.peer_timeout; });
 }
 
 std::size_t peer_link::place() const
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -83,8 +83,8 @@
 
 role_controller::~role_controller() = default;
 
-void role_controller::start(server_pool& pool, const std::string& address, std::string request, duration timeout,
-                            std::function<void(const http_answer*)> done)
+void role_controller::start(server_pool& pool, const std::string& address, std::string request,
+                            duration timeout, std::function<void(const http_answer*)> done)
 {
     const instant now = io::monotonic_now();
     calls_.push_back(std::make_unique<call>(pool, now + timeout, std::move(done)));
@@ -144,7 +144,7 @@
             continue;
         }
         const auto changes =
-            relay::plan_roles(core_.directory().open_servers(service.id), changing, serving, options_.plan);
+            relay::plan_roles(core_.answering_servers(service.id, now), changing, serving, options_.plan);
         wanted.insert(wanted.end(), changes.begin(), changes.end());
     }
     return wanted;
@@ -156,8 +156,8 @@
     case relay::lease_step::none:
         return;
     case relay::lease_step::read:
-        start(store_, store_address_, wire_.encode_newest(shared_topic::authority, {}), options_.order_timeout,
-              [this](const http_answer* answer) {
+        start(store_, store_address_, wire_.encode_newest(shared_topic::authority, {}),
+              options_.order_timeout, [this](const http_answer* answer) {
                   const auto page = answer == nullptr ? fail(error_kind::timeout, "no answer")
                                                       : wire_.decode_newest(*answer);
                   if (!page) {
@@ -171,13 +171,14 @@
         return;
     case relay::lease_step::claim:
         start(store_, store_address_,
-              wire_.encode_put_at(shared_topic::authority, "roles", node_, lease_.claim_at()), options_.order_timeout,
-              [this](const http_answer* answer) {
+              wire_.encode_put_at(shared_topic::authority, "roles", node_, lease_.claim_at()),
+              options_.order_timeout, [this](const http_answer* answer) {
                   const auto offset =
                       answer == nullptr ? fail(error_kind::timeout, "no answer") : wire_.decode_put(*answer);
                   if (!offset) {
                       lease_.on_failed(suspend_aware_now());
-                      io::log_event(io::log_level::info, "lease_not_claimed", {{"reason", offset.error().message}});
+                      io::log_event(io::log_level::info, "lease_not_claimed",
+                                    {{"reason", offset.error().message}});
                       return;
                   }
                   lease_.on_claimed(*offset);
@@ -244,7 +245,9 @@
 {
     const order_outcome outcome = wire_.decode_order(answer);
     io::log_event(io::log_level::info, "order_answered",
-                  {{"engine", engine.str()}, {"token", std::to_string(token)}, {"status", std::to_string(answer.status)}});
+                  {{"engine", engine.str()},
+                   {"token", std::to_string(token)},
+                   {"status", std::to_string(answer.status)}});
     if (outcome == order_outcome::superseded) {
         lease_.on_superseded();
     }
@@ -257,7 +260,8 @@
 {
     const auto found = changing_.find(engine);
     if (found != changing_.end() && found->second.role == role) {
-        io::log_event(io::log_level::info, "role_changed", {{"engine", engine.str()}, {"role", role_name(role)}});
+        io::log_event(io::log_level::info, "role_changed",
+                      {{"engine", engine.str()}, {"role", role_name(role)}});
         changing_.erase(found);
     }
 }
--- a/src/currantspar/gateway/role_controller.hpp
+++ b/src/currantspar/gateway/role_controller.hpp
@@ -20,18 +20,20 @@
     duration check_period = std::chrono::milliseconds(250);
     duration settle_time = std::chrono::milliseconds(1500); ///< after the start, before the first plan
     duration turn = std::chrono::milliseconds(1500); ///< by which each further node waits with its claim
-    duration change_time = std::chrono::seconds(9); ///< after an order, until the engine's entry must tell the new role
+    duration change_time =
+        std::chrono::seconds(9); ///< after an order, until the engine's entry must tell the new role
     duration order_timeout = std::chrono::milliseconds(900);
     relay::role_plan_options plan{};
 };
 
-/// Brings the engines' roles to the plan: claims the lease when there is something to order, reads each engine's
-/// state back, and orders under the lease's token. Not thread safe.
+/// Brings the engines' roles to the plan: claims the lease when there is something to order, reads each
+/// engine's state back, and orders under the lease's token. Not thread safe.
 class role_controller
 {
 public:
-    role_controller(server_pool& servers, server_pool& store, const wire_protocol& wire, relay::relay_core& core,
-                    std::string node, std::string store_address, role_controller_options options = {});
+    role_controller(server_pool& servers, server_pool& store, const wire_protocol& wire,
+                    relay::relay_core& core, std::string node, std::string store_address,
+                    role_controller_options options = {});
     ~role_controller();
 
     /// `place`: how many live nodes come before this one in claiming.
@@ -50,8 +52,10 @@
     [[nodiscard]] std::vector<relay::role_change> plan(instant now);
     void step_lease(bool wanted);
     void order(const relay::role_change& wanted);
-    void on_status(const relay::role_change& wanted, const relay::server_entry& engine, const http_answer& answer);
-    void send_order(const relay::role_change& wanted, const relay::server_entry& engine, std::uint64_t orders);
+    void on_status(const relay::role_change& wanted, const relay::server_entry& engine,
+                   const http_answer& answer);
+    void send_order(const relay::role_change& wanted, const relay::server_entry& engine,
+                    std::uint64_t orders);
     void on_ordered(const backend_id& engine, std::uint64_t token, const http_answer& answer);
     void start(server_pool& pool, const std::string& address, std::string request, duration timeout,
                std::function<void(const http_answer*)> done);
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -194,11 +194,14 @@
     instant usable_until_{};
 };
 
-server_pool::server_pool(ACE_Reactor& reactor, server_pool_options options) : reactor_(reactor), options_(options) {}
+server_pool::server_pool(ACE_Reactor& reactor, server_pool_options options)
+    : reactor_(reactor), options_(options)
+{}
 
 server_pool::~server_pool() = default;
 
-exchange_id server_pool::start(const std::string& address, std::string request, exchange_sink& sink, instant now)
+exchange_id server_pool::start(const std::string& address, std::string request, exchange_sink& sink,
+                               instant now)
 {
     now_ = now;
     const exchange_id exchange = ++last_exchange_;
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -45,8 +45,8 @@
 {
     answer_ = {};
     begun_ = now;
-    const std::string request = listing_ ? wire_.encode_newest(topic_, after_key_)
-                                         : wire_.encode_read(topic_, next_, options_.wait);
+    const std::string request =
+        listing_ ? wire_.encode_newest(topic_, after_key_) : wire_.encode_read(topic_, next_, options_.wait);
     exchange_ = pool_.start(store_, request, *this, now);
 }
 
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -83,7 +83,8 @@
 {
     bool sent_any = false;
     while (out_sent_ < out_.size()) {
-        const ssize_t sent = ::send(stream_.get_handle(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
+        const ssize_t sent =
+            ::send(stream_.get_handle(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
         if (sent < 0) {
             if (errno == EINTR) {
                 continue;
--- a/src/currantspar/io/peer_codec_test.cpp
+++ b/src/currantspar/io/peer_codec_test.cpp
@@ -17,7 +17,7 @@
     capnp::MallocMessageBuilder message;
     const auto root = message.initRoot<io::wire::Message>();
     io::write_message(root, node_id("10.0.0.1:1"), incarnation(1),
-                            core::send_peer{node_id("10.0.0.2:1"), 1, view});
+                      core::send_peer{node_id("10.0.0.2:1"), 1, view});
     bool read = false;
     const auto refused =
         kj::runCatchingExceptions([&]() { read = io::read_message(root.asReader()).has_value(); });
--- a/src/currantspar/node/test_installation.hpp
+++ b/src/currantspar/node/test_installation.hpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "currantspar/base/hash.hpp"
-#include "currantspar/node/runtime.hpp"
 #include "currantspar/io/test_socket.hpp"
+#include "currantspar/node/runtime.hpp"
 #include "currantspar/standin/http_engine.hpp"
 #include "currantspar/standin/http_platform.hpp"
 
--- a/src/currantspar/policy/limits.cpp
+++ b/src/currantspar/policy/limits.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+void retry_budget::limit(retry_budget_options options)
+{
+    options_ = options;
+    left_ = std::min(left_, options_.reserve);
+}
+
 void retry_budget::earn()
 {
     left_ = std::min(options_.reserve, left_ + options_.per_first_attempt);
--- a/src/currantspar/relay/engine_choice.cpp
+++ b/src/currantspar/relay/engine_choice.cpp
@@ -26,7 +26,13 @@
 
 std::uint32_t answer_tokens(const request_facts& request)
 {
-    return request.expected_output > 0 ? request.expected_output : request.max_output / expected_output_divisor;
+    return request.expected_output > 0 ? request.expected_output
+                                       : request.max_output / expected_output_divisor;
+}
+
+std::uint32_t highest(const std::vector<std::uint32_t>& values)
+{
+    return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
 }
 
 bool is_prefill(const server_entry& engine)
@@ -83,7 +89,8 @@
     return sum;
 }
 
-std::uint32_t engine_choice::cached_tokens(const request_facts& request, std::uint64_t engine, instant now) const
+std::uint32_t engine_choice::cached_tokens(const request_facts& request, std::uint64_t engine,
+                                           instant now) const
 {
     const auto known = parts_.find(engine);
     if (known == parts_.end()) {
@@ -112,8 +119,8 @@
 double engine_choice::decode_wait_ms(const engine_work& load, const engine_traits& traits,
                                      const request_facts& request) const
 {
-    const double step = options_.speed.step_ms +
-                        static_cast<double>(load.tokens) / tokens_per_thousand * options_.speed.context_ms_per_thousand;
+    const double step = options_.speed.step_ms + static_cast<double>(load.tokens) / tokens_per_thousand *
+                                                     options_.speed.context_ms_per_thousand;
     double wait = step;
     const auto needed = static_cast<double>(load.tokens) + request.prompt_tokens + request.max_output;
     const bool memory_full = traits.memory_tokens > 0 && needed > static_cast<double>(traits.memory_tokens);
@@ -125,27 +132,39 @@
 }
 
 engine_choice::estimate engine_choice::weigh_reader(const server_entry& engine, const request_facts& request,
-                                                    bool home, bool decoder, instant now) const
+                                                    std::uint32_t cached, std::uint32_t best_cached,
+                                                    bool home, bool decoder) const
 {
     estimate result;
-    result.cached = cached_tokens(request, engine_number(engine.id), now);
-    result.read_ms = read_ms(request, result.cached, decoder);
+    result.cached = cached;
+    result.read_ms = read_ms(request, cached, decoder);
     result.ready_ms = load(engine.id).read_ms + result.read_ms;
-    const std::uint32_t shared = shared_tokens(request);
-    const double read_again = shared - std::min(result.cached, shared);
-    result.cost = result.ready_ms;
-    if (!home) {
-        result.cost += read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
-    }
+    const double read_again = best_cached - std::min(cached, best_cached);
+    result.cost = result.ready_ms + read_again / tokens_per_thousand * options_.reread_ms_per_thousand;
     if (decoder) {
         result.cost += result.read_ms * options_.decode_interference;
     }
+    if (home) {
+        result.cost -= options_.home_ms;
+    }
     if (engine.data_centre != options_.data_centre) {
         result.cost += options_.far_ms;
     }
     return result;
 }
 
+std::vector<std::uint32_t> engine_choice::cached_at(const request_facts& request,
+                                                    const std::vector<const server_entry*>& engines,
+                                                    instant now) const
+{
+    std::vector<std::uint32_t> cached;
+    cached.reserve(engines.size());
+    for (const server_entry* engine : engines) {
+        cached.push_back(cached_tokens(request, engine_number(engine->id), now));
+    }
+    return cached;
+}
+
 std::optional<placement> engine_choice::choose(const request_facts& request, const engine_traits& traits,
                                                const std::vector<server_entry>& engines,
                                                const std::set<backend_id>& excluded, instant now) const
@@ -161,16 +180,19 @@
         return std::nullopt;
     }
     const std::uint64_t key = sharing_key(request);
-    const server_entry* reader_home = key == 0 ? nullptr : home_engine(key, readers);
-    const server_entry* decoder_home = key == 0 ? nullptr : home_engine(key, decoders);
     const double bytes = static_cast<double>(traits.bytes_per_token) * request.prompt_tokens;
     const double transfer_ms =
         traits.link_mbps > 0 ? bytes * bits_per_byte / (traits.link_mbps * tokens_per_thousand) : 0;
+    const std::vector<std::uint32_t> at_readers = cached_at(request, readers, now);
+    const std::vector<std::uint32_t> at_decoders = cached_at(request, decoders, now);
+    const std::uint32_t best_cached =
+        std::min(shared_tokens(request), std::max(highest(at_readers), highest(at_decoders)));
 
     placement best;
     double best_cost = std::numeric_limits<double>::max();
-    for (const server_entry* decoder : decoders) {
-        const estimate read = weigh_reader(*decoder, request, decoder == decoder_home, true, now);
+    for (std::size_t index = 0; index < decoders.size(); ++index) {
+        const server_entry* decoder = decoders[index];
+        const estimate read = weigh_reader(*decoder, request, at_decoders[index], best_cached, false, true);
         const double wait = decode_wait_ms(load(decoder->id), traits, request);
         if (read.cost + wait < best_cost) {
             best_cost = read.cost + wait;
@@ -180,12 +202,14 @@
     if (readers.empty()) {
         return best;
     }
+    const server_entry* home = key == 0 ? nullptr : home_engine(key, readers);
     const server_entry* best_reader = nullptr;
     estimate best_read;
-    for (const server_entry* reader : readers) {
-        const estimate read = weigh_reader(*reader, request, reader == reader_home, false, now);
+    for (std::size_t index = 0; index < readers.size(); ++index) {
+        const estimate read = weigh_reader(*readers[index], request, at_readers[index], best_cached,
+                                           readers[index] == home, false);
         if (best_reader == nullptr || read.cost < best_read.cost) {
-            best_reader = reader;
+            best_reader = readers[index];
             best_read = read;
         }
     }
@@ -194,7 +218,8 @@
         const bool near = decoder->data_centre == best_reader->data_centre;
         const double move_ms = options_.speed.transfer_setup_ms + transfer_ms * (near ? 1 : 2);
         // A decoder that reads prompts makes its first token between two pieces of them.
-        const double wait = decode_wait_ms(busy, traits, request) + std::min(busy.read_ms, options_.speed.step_ms * 4);
+        const double wait =
+            decode_wait_ms(busy, traits, request) + std::min(busy.read_ms, options_.speed.step_ms * 4);
         const double cost = best_read.cost + move_ms * (near ? 1 : 2) + wait;
         if (cost < best_cost) {
             best_cost = cost;
@@ -205,7 +230,21 @@
     return best;
 }
 
-void engine_choice::on_sent(attempt_id attempt, const placement& chosen, const request_facts& request, instant now)
+const server_entry* engine_choice::least_busy_decoder(const std::vector<server_entry>& engines,
+                                                      const std::set<backend_id>& excluded) const
+{
+    const server_entry* best = nullptr;
+    for (const server_entry& engine : engines) {
+        const bool usable = !is_prefill(engine) && !excluded.contains(engine.id);
+        if (usable && (best == nullptr || load(engine.id).running < load(best->id).running)) {
+            best = &engine;
+        }
+    }
+    return best;
+}
+
+void engine_choice::on_sent(attempt_id attempt, const placement& chosen, const request_facts& request,
+                            instant now)
 {
     on_ended(attempt);
     const backend_id& reader = chosen.reader.empty() ? chosen.decoder : chosen.reader;
@@ -243,7 +282,7 @@
     }
 }
 
-void engine_choice::on_read(attempt_id attempt, instant)
+void engine_choice::on_read(attempt_id attempt)
 {
     const auto found = sent_.find(attempt);
     if (found == sent_.end() || found->second.read) {
@@ -261,7 +300,7 @@
     if (found == sent_.end()) {
         return;
     }
-    on_read(attempt, {});
+    on_read(attempt);
     engine_work& work = own_[engine_number(found->second.where.decoder)];
     work.running = std::max(0, work.running - 1);
     work.tokens = std::max<std::int64_t>(0, work.tokens - found->second.tokens);
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -12,6 +12,8 @@
 constexpr int status_gateway_timeout = 504;
 constexpr int status_not_found = 404;
 constexpr int first_server_error = 500;
+/// Nodes that are taken to share the budget of retries before they are counted.
+constexpr double unknown_nodes = 32;
 
 std::string milliseconds_text(duration value)
 {
@@ -54,14 +56,43 @@
 } // namespace
 
 relay_core::relay_core(relay_options options)
-    : options_(std::move(options)), random_(options_.seed), engines_(engine_options(options_))
+    : options_(std::move(options)), random_(options_.seed),
+      engines_(engine_options(options_)), retries_{options_.retries_per_request,
+                                                   options_.retries_reserve / unknown_nodes}
 {}
 
+void relay_core::on_nodes(std::size_t nodes)
+{
+    const double reserve = options_.retries_reserve / static_cast<double>(nodes);
+    if (reserve == retries_.reserve) {
+        return;
+    }
+    retries_.reserve = reserve;
+    for (auto& [service, left] : budgets_) {
+        left.limit(retries_);
+    }
+}
+
+policy::retry_budget& relay_core::budget(const service_id& service)
+{
+    return budgets_.try_emplace(service, retries_).first->second;
+}
+
 bool relay_core::on_config(std::shared_ptr<const relay_config> config)
 {
     return routes_.adopt(std::move(config));
 }
 
+std::vector<server_entry> relay_core::answering_servers(const service_id& service, instant now) const
+{
+    const std::vector<server_entry>& open = directory_.open_servers(service);
+    const std::set<backend_id> avoided = circuit_.avoided(open, now);
+    std::vector<server_entry> answering;
+    std::copy_if(open.begin(), open.end(), std::back_inserter(answering),
+                 [&](const server_entry& server) { return !avoided.contains(server.id); });
+    return answering;
+}
+
 bool relay_core::ready() const
 {
     return routes_.config() != nullptr && directory_.size() > 0;
@@ -82,8 +113,11 @@
         out.push_back(reply{number, unknown ? status_not_found : status_unavailable,
                             unknown ? duration{} : options_.no_server_retry,
                             unknown ? "no_such_route" : "no_configuration"});
-        out.push_back(log_decision{"request_rejected", facts.id, {{"reason", unknown ? "no_such_route" : "no_configuration"},
-                                    {"config_version", routes_.config() ? std::to_string(routes_.config()->version) : "0"}}});
+        out.push_back(log_decision{
+            "request_rejected",
+            facts.id,
+            {{"reason", unknown ? "no_such_route" : "no_configuration"},
+             {"config_version", routes_.config() ? std::to_string(routes_.config()->version) : "0"}}});
         return out;
     }
     request req;
@@ -94,10 +128,11 @@
     req.arrived = now;
     req.last_event = req.facts.resume_after;
     const duration patience = req.facts.time_left.value_or(req.route->timeout);
-    req.give_up_at = now + (req.route->timeout.count() > 0 ? std::min(patience, req.route->timeout) : patience);
+    req.give_up_at =
+        now + (req.route->timeout.count() > 0 ? std::min(patience, req.route->timeout) : patience);
     accounts_[req.service].accepted += 1;
     accounts_[req.service].in_flight += 1;
-    budgets_.try_emplace(req.service, options_.retries).first->second.earn();
+    budget(req.service).earn();
     const auto it = requests_.emplace(number, std::move(req)).first;
     dispatch(it, now, out);
     return out;
@@ -119,8 +154,11 @@
     release_load(req);
     accounts_[req.service].in_flight -= 1;
     accounts_[req.service].caller_gone += 1;
-    out.push_back(log_decision{"caller_gone", req.facts.id, {{"after_ms", milliseconds_text(now - req.arrived)},
-                                {"server", req.server.str()}, {"last_event", req.last_event}}});
+    out.push_back(log_decision{"caller_gone",
+                               req.facts.id,
+                               {{"after_ms", milliseconds_text(now - req.arrived)},
+                                {"server", req.server.str()},
+                                {"last_event", req.last_event}}});
     requests_.erase(it);
     return out;
 }
@@ -153,7 +191,8 @@
         }
         (avoided.contains(server.id) ? second_choice : candidates).push_back(server.id);
     }
-    const auto chosen = health_[req.service].choose(candidates.empty() ? second_choice : candidates, now, random_);
+    const auto chosen =
+        health_[req.service].choose(candidates.empty() ? second_choice : candidates, now, random_);
     if (!chosen) {
         fail(it, servers.empty() ? "no_server" : "all_servers_tried", now, out);
         return;
@@ -186,6 +225,8 @@
         chosen->reader = {};
     }
     release_load(req);
+    req.handle.clear();
+    req.handle_refused = false;
     req.where = *chosen;
     req.load_key = attempt_id(last_attempt_ + 1);
     engines_.on_sent(req.load_key, *chosen, req.facts, now);
@@ -195,7 +236,8 @@
 }
 
 void relay_core::send(request_map::iterator it, const server_entry& server, attempt_stage stage,
-                      const std::string& handle, const std::string& handle_address, instant now, relay_effects& out)
+                      const std::string& handle, const std::string& handle_address, instant now,
+                      relay_effects& out)
 {
     request& req = it->second;
     const attempt_id attempt(++last_attempt_);
@@ -210,27 +252,26 @@
     health_[req.service].on_started(server.id);
     const std::string resume = stage == attempt_stage::read_prompt ? std::string() : req.last_event;
     const bool stream = req.route->kind == repetition::stream && stage != attempt_stage::read_prompt;
-    out.push_back(start_attempt{attempt, it->first, req.facts.id, stream, server.id, server.address, stage, handle,
-                                handle_address, req.give_up_at - now, req.route->priority, resume});
-    out.push_back(log_decision{
-        "attempt_started",
-        req.facts.id,
-        {{"route", req.route->name},
-         {"config_version", std::to_string(req.config->version)},
-         {"server", server.id.str()},
-         {"address", server.address},
-         {"stage", std::string(stage_name(stage))},
-         {"send", std::to_string(req.sends)},
-         {"tokens", std::to_string(req.facts.prompt_tokens)},
-         {"cached", std::to_string(req.where.cached_tokens)},
-         {"predicted_ms", std::to_string(std::lround(req.where.first_event_ms))}}});
+    out.push_back(start_attempt{attempt, it->first, req.facts.id, stream, server.id, server.address, stage,
+                                handle, handle_address, req.give_up_at - now, req.route->priority, resume});
+    out.push_back(log_decision{"attempt_started",
+                               req.facts.id,
+                               {{"route", req.route->name},
+                                {"config_version", std::to_string(req.config->version)},
+                                {"server", server.id.str()},
+                                {"address", server.address},
+                                {"stage", std::string(stage_name(stage))},
+                                {"send", std::to_string(req.sends)},
+                                {"tokens", std::to_string(req.facts.prompt_tokens)},
+                                {"cached", std::to_string(req.where.cached_tokens)},
+                                {"predicted_ms", std::to_string(std::lround(req.where.first_event_ms))}}});
 }
 
 void relay_core::spend_retry(request& req, attempt_stage stage)
 {
     bool& asked = stage == attempt_stage::read_prompt ? req.prompt_asked : req.run_asked;
     if (std::exchange(asked, true)) {
-        budgets_.try_emplace(req.service, options_.retries).first->second.spend();
+        budget(req.service).spend();
     }
 }
 
@@ -254,14 +295,16 @@
         return out;
     }
     end_attempt(it->second, true, now);
-    engines_.on_read(it->second.load_key, now);
+    engines_.on_read(it->second.load_key);
     take_over(it, handle, now, out);
     return out;
 }
 
-void relay_core::take_over(request_map::iterator it, const std::string& handle, instant now, relay_effects& out)
+void relay_core::take_over(request_map::iterator it, const std::string& handle, instant now,
+                           relay_effects& out)
 {
     request& req = it->second;
+    req.handle = handle;
     const server_entry* reader = directory_.find(req.where.reader);
     const server_entry* decoder = directory_.find(req.where.decoder);
     if (reader == nullptr || decoder == nullptr || decoder->draining) {
@@ -274,6 +317,24 @@
     send(it, *decoder, attempt_stage::take_over, handle, reader->address, now, out);
 }
 
+bool relay_core::take_over_elsewhere(request_map::iterator it, instant now, relay_effects& out)
+{
+    request& req = it->second;
+    if (req.handle.empty() || std::exchange(req.handle_refused, true) || !may_send_again(req, false, now)) {
+        return false;
+    }
+    const std::vector<server_entry>& servers = directory_.open_servers(req.service);
+    std::set<backend_id> excluded = circuit_.avoided(servers, now);
+    excluded.insert(req.excluded.begin(), req.excluded.end());
+    const server_entry* decoder = engines_.least_busy_decoder(servers, excluded);
+    const server_entry* reader = directory_.find(req.where.reader);
+    if (decoder == nullptr || reader == nullptr) {
+        return false;
+    }
+    send(it, *decoder, attempt_stage::take_over, req.handle, reader->address, now, out);
+    return true;
+}
+
 relay_effects relay_core::on_stream_head(attempt_id attempt, instant)
 {
     relay_effects out;
@@ -287,16 +348,30 @@
     return out;
 }
 
-void relay_core::on_events(attempt_id attempt, const std::string& last_event, instant now)
+relay_effects relay_core::on_events(attempt_id attempt, const std::string& last_event, instant now)
 {
+    relay_effects out;
     const auto it = find_attempt(attempt);
     if (it == requests_.end()) {
-        return;
+        return out;
     }
+    request& req = it->second;
     if (!last_event.empty()) {
-        it->second.last_event = last_event;
+        req.last_event = last_event;
     }
-    engines_.on_read(it->second.load_key, now);
+    if (std::exchange(req.has_events, true)) {
+        req.longest_pause = std::max(req.longest_pause, duration(now - req.last_event_at));
+    } else {
+        engines_.on_read(req.load_key);
+        out.push_back(log_decision{"first_event",
+                                   req.facts.id,
+                                   {{"after_ms", milliseconds_text(now - req.arrived)},
+                                    {"predicted_ms", std::to_string(std::lround(req.where.first_event_ms))},
+                                    {"target_ms", milliseconds_text(req.route->target)},
+                                    {"server", req.server.str()}}});
+    }
+    req.last_event_at = now;
+    return out;
 }
 
 relay_effects relay_core::on_stream_end(attempt_id attempt, instant now)
@@ -335,7 +410,8 @@
     return out;
 }
 
-relay_effects relay_core::on_failure(attempt_id attempt, attempt_failure how, const std::string& detail, instant now)
+relay_effects relay_core::on_failure(attempt_id attempt, attempt_failure how, const std::string& detail,
+                                     instant now)
 {
     relay_effects out;
     const auto it = find_attempt(attempt);
@@ -354,18 +430,23 @@
     if (how == attempt_failure::not_run && req.runs == 0) {
         req.may_have_run = false;
     }
-    if (req.stage == attempt_stage::take_over && how == attempt_failure::not_run) {
-        lapsing_[req.where.reader] = now + options_.handle_avoid;
-    }
+    const bool refused = req.stage == attempt_stage::take_over && how == attempt_failure::not_run;
     end_attempt(req, false, now);
     req.excluded.insert(server);
-    out.push_back(log_decision{"attempt_failed", req.facts.id,
+    out.push_back(log_decision{"attempt_failed",
+                               req.facts.id,
                                {{"server", server.str()},
                                 {"how", how == attempt_failure::not_written ? "not_written"
                                         : how == attempt_failure::not_run   ? "not_run"
                                                                             : "lost"},
                                 {"detail", detail},
                                 {"after_ms", milliseconds_text(now - req.sent)}}});
+    if (refused) {
+        if (take_over_elsewhere(it, now, out)) {
+            return out;
+        }
+        lapsing_[req.where.reader] = now + options_.handle_avoid;
+    }
     retry_or_fail(it, lost && !reading, detail, now, out);
     return out;
 }
@@ -382,11 +463,11 @@
         }
     }
     // Another try may ask for the prompt and for the run once more.
-    return budgets_.try_emplace(req.service, options_.retries).first->second.available(2);
+    return budget(req.service).available(2);
 }
 
-void relay_core::retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
-                               relay_effects& out)
+void relay_core::retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail,
+                               instant now, relay_effects& out)
 {
     request& req = it->second;
     if (!may_send_again(req, after_run, now)) {
@@ -398,7 +479,8 @@
 
 void relay_core::end_attempt(request& req, bool good, instant now)
 {
-    health_[req.service].on_ended(req.server, good, std::chrono::duration_cast<duration>(now - req.sent), now);
+    health_[req.service].on_ended(req.server, good, std::chrono::duration_cast<duration>(now - req.sent),
+                                  now);
     if (good) {
         circuit_.on_success(req.server);
     }
@@ -457,11 +539,13 @@
         account.unknown += 1;
         break;
     }
-    out.push_back(log_decision{"request_ended", req.facts.id,
+    out.push_back(log_decision{"request_ended",
+                               req.facts.id,
                                {{"outcome", std::string(outcome_name(outcome))},
                                 {"reason", reason},
                                 {"server", req.server.str()},
                                 {"sends", std::to_string(req.sends)},
+                                {"longest_pause_ms", milliseconds_text(req.longest_pause)},
                                 {"after_ms", milliseconds_text(now - req.arrived)}}});
     requests_.erase(it);
 }
@@ -486,7 +570,8 @@
             }
             fail(it, "timeout", now, out);
         } else if (waiting && req.route->kind == repetition::idempotent && req.written &&
-                   now - req.sent > req.route->target * options_.hedge_factor && req.runs + 1 < req.route->max_attempts) {
+                   now - req.sent > req.route->target * options_.hedge_factor &&
+                   req.runs + 1 < req.route->max_attempts) {
             const attempt_id silent = req.current;
             out.push_back(cancel_attempt{silent});
             for (relay_effect& effect : on_failure(silent, attempt_failure::lost, "silent", now)) {
--- a/src/currantspar/relay/role_plan.cpp
+++ b/src/currantspar/relay/role_plan.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 /// Takes the next engine to change: from the data centre that has most of its kind left.
-const server_entry* take_from_fullest(std::map<data_centre_id, std::vector<const server_entry*>>& by_data_centre)
+const server_entry*
+take_from_fullest(std::map<data_centre_id, std::vector<const server_entry*>>& by_data_centre)
 {
     const auto fullest = std::max_element(
         by_data_centre.begin(), by_data_centre.end(),
@@ -24,8 +25,9 @@
 
 } // namespace
 
-std::vector<role_change> plan_roles(const std::vector<server_entry>& engines, const std::set<backend_id>& changing,
-                                    bool serving, const role_plan_options& options)
+std::vector<role_change> plan_roles(const std::vector<server_entry>& engines,
+                                    const std::set<backend_id>& changing, bool serving,
+                                    const role_plan_options& options)
 {
     const auto total = static_cast<unsigned>(engines.size());
     if (total < 2) {
@@ -47,8 +49,9 @@
     const unsigned wanted = std::min(share, total - decoders_least);
     const unsigned most = serving ? options.changes_serving : options.changes_most;
     std::vector<role_change> changes;
-    const bool too_few = reader_count + options.tolerance < wanted;
-    const bool too_many = reader_count > wanted + options.tolerance;
+    const unsigned missing = serving ? options.readers_missing_serving : options.readers_missing;
+    const bool too_few = reader_count + missing < wanted;
+    const bool too_many = reader_count > wanted + options.readers_beyond;
     while (changing.size() + changes.size() < most) {
         const bool add = too_few && reader_count < wanted;
         const bool remove = too_many && reader_count > wanted;
--- a/src/currantspar/relay/routing_table.cpp
+++ b/src/currantspar/relay/routing_table.cpp
@@ -27,8 +27,8 @@
 
 const relayed_service* relay_config::find_service(const service_id& id) const
 {
-    const auto found =
-        std::find_if(services.begin(), services.end(), [&](const relayed_service& service) { return service.id == id; });
+    const auto found = std::find_if(services.begin(), services.end(),
+                                    [&](const relayed_service& service) { return service.id == id; });
     return found == services.end() ? nullptr : &*found;
 }
 
