--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -35,10 +35,12 @@
 
 struct peer_link_options
 {
-    duration news_period = std::chrono::milliseconds(60); ///< between digests of what changed
-    duration whole_period = std::chrono::seconds(1);      ///< between whole digests, which mend lost ones
-    duration peer_timeout = std::chrono::seconds(8);      ///< a peer that isn't heard for so long is left out
-    double least_change_ms = 8;                           ///< smaller changes of the reading work wait
+    duration news_period = std::chrono::milliseconds(4); ///< least time between digests of what changed
+    duration news_period_per_peer =
+        std::chrono::microseconds(400);              ///< the same for each peer, when there are many
+    duration whole_period = std::chrono::seconds(1); ///< between whole digests, which mend lost ones
+    duration peer_timeout = std::chrono::seconds(8); ///< a peer that isn't heard for so long is left out
+    double least_change_ms = 8;                      ///< smaller changes of the reading work wait
 };
 
 /// Tells the other nodes what work this one has at each engine, in datagrams that may be lost. Not thread
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -241,6 +241,7 @@
     from.number = number;
     callers_.emplace(number, caller{&from, std::move(request)});
     run(core_.on_request(number, std::move(*facts), now), now);
+    tell_peers(now);
 }
 
 void gateway_node::request_malformed(int status)
@@ -529,6 +530,11 @@
     return config ? config->version : 0;
 }
 
+void gateway_node::tell_peers(instant now)
+{
+    peers_.on_tick(core_.engines(), configuration_version(), now);
+}
+
 void gateway_node::announce(instant now)
 {
     if (announced_ || now < announce_due_ || settings_.peer_address.empty()) {
@@ -615,7 +621,7 @@
     announce(now);
     servers_.on_tick(now);
     store_.on_tick(now);
-    peers_.on_tick(core_.engines(), configuration_version(), now);
+    tell_peers(now);
     if (!stopping_) {
         roles_.on_tick(peers_.place(), now);
     }
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -77,6 +77,8 @@
     void on_nodes(const std::vector<keyed_record>& records, instant now);
     /// Takes over what a peer tells, and reads the configuration at once when the peer has a newer one.
     void on_digest(const load_digest& digest, instant now);
+    /// Tells the peers what has changed, unless that was done a moment ago.
+    void tell_peers(instant now);
     [[nodiscard]] std::uint64_t configuration_version() const;
     /// Writes this node's record, by which the others find it.
     void announce(instant now);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -131,7 +131,8 @@
     if (self_.empty() || now < news_due_) {
         return;
     }
-    news_due_ = now + options_.news_period;
+    news_due_ = now + std::max(options_.news_period,
+                               options_.news_period_per_peer * static_cast<std::int64_t>(peers_.size()));
     const relay::engine_loads& own = work.own_work();
     load_digest digest{self_, 0, now >= whole_due_, {}, work.take_news(), configuration};
     if (digest.whole) {
