--- /dev/null
+++ b/src/currantspar/relay/engine_choice_test.cpp
@@ -0,0 +1,258 @@
+#include "currantspar/relay/engine_choice.hpp"
+
+#include <cmath>
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+#include "test_readers.hpp"
+
+namespace currantspar::relay {
+
+namespace {
+
+using test::at;
+using test::make_prompt;
+using test::make_server;
+using test::reading_result;
+using test::shared_prompt_load;
+
+constexpr auto prefill = config::engine_role::prefill;
+constexpr auto decode = config::engine_role::decode;
+const engine_traits traits{64, 450000, 163840, 1600000.0, std::chrono::seconds(5)};
+
+engine_choice make_choice()
+{
+    engine_choice_options options;
+    options.data_centre = data_centre_id("a");
+    return engine_choice(options);
+}
+
+std::vector<server_entry> small_fleet()
+{
+    return {make_server("reader-1", "llm", prefill), make_server("reader-2", "llm", prefill),
+            make_server("decoder-1", "llm", decode), make_server("decoder-2", "llm", decode)};
+}
+
+/// Nodes that place requests and hear of each other's after a delay.
+class choosing_nodes
+{
+public:
+    choosing_nodes(const shared_prompt_load& load, double news_delay_s)
+        : fleet_(load), delay_(news_delay_s)
+    {
+        for (unsigned node = 0; node < load.nodes; ++node) {
+            nodes_.push_back(make_choice());
+        }
+    }
+
+    reading_result play()
+    {
+        return fleet_.play(
+            [this](unsigned node, const request_facts& request, instant now) { return choose(node, request, now); },
+            [this](unsigned node, const request_facts&, double ready) { reads_.emplace_back(node, attempt_, ready); });
+    }
+
+private:
+    struct news
+    {
+        unsigned from = 0;
+        double heard_at = 0;
+        engine_loads work;
+        std::vector<cached_part> parts;
+    };
+
+    backend_id choose(unsigned node, const request_facts& request, instant now)
+    {
+        const double seconds = to_seconds(now.time_since_epoch()) - 1;
+        finish_reads(seconds);
+        deliver(seconds, now);
+        const auto chosen = nodes_[node].choose(request, traits, fleet_.engines(), {}, now);
+        attempt_ = attempt_.next();
+        nodes_[node].on_sent(attempt_, *chosen, request, now);
+        tell(node, seconds);
+        return chosen->reader.empty() ? chosen->decoder : chosen->reader;
+    }
+
+    void finish_reads(double now)
+    {
+        for (auto& [node, attempt, ready] : reads_) {
+            if (ready <= now && attempt.value() != 0) {
+                nodes_[node].on_read(attempt);
+                nodes_[node].on_ended(attempt);
+                attempt = attempt_id();
+                tell(node, now);
+            }
+        }
+        std::erase_if(reads_, [](const auto& each) { return std::get<1>(each).value() == 0; });
+    }
+
+    void tell(unsigned node, double now)
+    {
+        news_.push_back({node, now + delay_, nodes_[node].own_work(), nodes_[node].take_news()});
+    }
+
+    void deliver(double now, instant at)
+    {
+        while (!news_.empty() && news_.front().heard_at <= now) {
+            for (unsigned node = 0; node < nodes_.size(); ++node) {
+                if (node != news_.front().from) {
+                    nodes_[node].on_peer_work(std::to_string(news_.front().from), news_.front().work, true, at);
+                    nodes_[node].on_peer_parts(news_.front().parts, at);
+                }
+            }
+            news_.pop_front();
+        }
+    }
+
+    test::reader_fleet fleet_;
+    double delay_;
+    std::vector<engine_choice> nodes_;
+    std::deque<news> news_;
+    std::vector<std::tuple<unsigned, attempt_id, double>> reads_;
+    attempt_id attempt_;
+};
+
+reading_result play_nodes(const shared_prompt_load& load, double news_delay_s)
+{
+    return choosing_nodes(load, news_delay_s).play();
+}
+
+/// Baseline: always the part's home, however busy.
+reading_result play_prefix_hash(const shared_prompt_load& load)
+{
+    test::reader_fleet fleet(load);
+    std::vector<const server_entry*> readers;
+    for (const server_entry& engine : fleet.engines()) {
+        if (engine.role == prefill) {
+            readers.push_back(&engine);
+        }
+    }
+    return fleet.play([&](unsigned, const request_facts& request,
+                          instant) { return home_engine(sharing_key(request), readers)->id; },
+                      [](unsigned, const request_facts&, double) {});
+}
+
+/// Baseline: the engine that is free first, as an observer of all of them knows it.
+reading_result play_least_loaded(const shared_prompt_load& load)
+{
+    test::reader_fleet fleet(load);
+    return fleet.play(
+        [&](unsigned, const request_facts&, instant) {
+            const auto best =
+                std::min_element(fleet.engines().begin(), fleet.engines().end(), [&](const auto& left, const auto& right) {
+                    const bool reads_left = left.role == prefill;
+                    const bool reads_right = right.role == prefill;
+                    return std::make_pair(!reads_left, fleet.free_at(left.id)) <
+                           std::make_pair(!reads_right, fleet.free_at(right.id));
+                });
+            return best->id;
+        },
+        [](unsigned, const request_facts&, double) {});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(engine_choice_tests)
+
+BOOST_AUTO_TEST_CASE(all_nodes_send_a_cold_part_to_the_same_engine)
+{
+    const auto engines = small_fleet();
+    const request_facts request = make_prompt("r", 7, 13300, 3700);
+    const auto one = make_choice().choose(request, traits, engines, {}, at(1));
+    const auto two = make_choice().choose(make_prompt("s", 7, 13300, 100), traits, engines, {}, at(1));
+    BOOST_REQUIRE(one.has_value());
+    BOOST_TEST((one->reader == two->reader));
+    BOOST_TEST(!one->reader.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_follows_the_part_that_an_engine_has_read)
+{
+    const auto engines = small_fleet();
+    engine_choice choice = make_choice();
+    const request_facts request = make_prompt("r", 7, 13300, 3700);
+    const auto home = choice.choose(request, traits, engines, {}, at(1));
+    const auto other = choice.choose(request, traits, engines, {home->reader}, at(1));
+    choice.on_peer_parts({{engine_number(other->reader), 7}}, at(1));
+    const auto next = choice.choose(make_prompt("s", 7, 13300, 3700), traits, engines, {}, at(2));
+    BOOST_TEST((next->reader == other->reader));
+    BOOST_TEST(next->cached_tokens == 13300U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_leaves_an_engine_whose_queue_is_longer_than_reading_again)
+{
+    const auto engines = small_fleet();
+    engine_choice choice = make_choice();
+    const auto home = choice.choose(make_prompt("r", 7, 13300, 3700), traits, engines, {}, at(1));
+    choice.on_peer_parts({{engine_number(home->reader), 7}}, at(1));
+    choice.on_peer_work("peer", {{engine_number(home->reader), {2000, 20, 0}}}, true, at(1));
+    const auto next = choice.choose(make_prompt("s", 7, 13300, 3700), traits, engines, {}, at(1));
+    BOOST_TEST((next->reader != home->reader));
+}
+
+BOOST_AUTO_TEST_CASE(decode_engines_read_no_long_prompts_while_readers_are_there)
+{
+    const auto engines = small_fleet();
+    engine_choice choice = make_choice();
+    const auto placed = choice.choose(make_prompt("r", 7, 13300, 3700), traits, engines, {}, at(1));
+    BOOST_TEST(!placed->reader.empty());
+    const auto alone = choice.choose(make_prompt("s", 7, 13300, 3700), traits, {engines[2], engines[3]}, {}, at(1));
+    BOOST_REQUIRE(alone.has_value());
+    BOOST_TEST(alone->reader.empty());
+    BOOST_TEST(!choice.choose(make_prompt("t", 7, 13300, 3700), traits, {engines[0]}, {}, at(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(work_of_a_peer_that_fell_silent_is_forgotten)
+{
+    const auto engines = small_fleet();
+    engine_choice choice = make_choice();
+    const auto home = choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(1));
+    choice.on_peer_work("peer", {{engine_number(home->reader), {5000, 20, 0}}}, true, at(1));
+    choice.on_tick(at(2));
+    BOOST_TEST((choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(2))->reader != home->reader));
+    choice.on_tick(at(9));
+    BOOST_TEST((choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(9))->reader == home->reader));
+}
+
+BOOST_AUTO_TEST_CASE(a_partial_digest_changes_only_the_engines_that_it_names)
+{
+    const auto engines = small_fleet();
+    engine_choice choice = make_choice();
+    const std::uint64_t one = engine_number(engines[0].id);
+    const std::uint64_t two = engine_number(engines[1].id);
+    choice.on_peer_work("peer", {{one, {5000, 20, 0}}, {two, {5000, 20, 0}}}, true, at(1));
+    choice.on_peer_work("peer", {{two, {0, 0, 0}}}, false, at(1));
+    const auto placed = choice.choose(make_prompt("r", 7, 3000, 1000), traits, engines, {}, at(1));
+    BOOST_TEST((placed->reader == engines[1].id));
+}
+
+/// The pattern: fourteen nodes place prompts that share 83 parts; each sees a fourteenth of the work.
+BOOST_AUTO_TEST_CASE(shared_prompts_placed_by_many_nodes_are_read_in_time)
+{
+    const shared_prompt_load load;
+    const reading_result told = play_nodes(load, 0.002);
+    const reading_result prefix_hash = play_prefix_hash(load);
+    const reading_result least_loaded = play_least_loaded(load);
+    BOOST_TEST(told.in_time >= 0.95);
+    BOOST_TEST(told.in_time >= prefix_hash.in_time);
+    BOOST_TEST(told.in_time >= least_loaded.in_time);
+    BOOST_TEST(told.read_again <= 0.1);
+}
+
+/// The pattern: the long prompts come twice as often for some seconds.
+BOOST_AUTO_TEST_CASE(a_burst_of_shared_prompts_is_spread_by_news_between_nodes)
+{
+    shared_prompt_load load;
+    load.requests_per_second = 70;
+    const reading_result told = play_nodes(load, 0.002);
+    const reading_result told_late = play_nodes(load, 0.1);
+    const reading_result untold = play_nodes(load, 1000);
+    BOOST_TEST(told.in_time >= play_prefix_hash(load).in_time);
+    BOOST_TEST(told.in_time >= play_least_loaded(load).in_time);
+    BOOST_TEST(told.in_time > told_late.in_time);
+    BOOST_TEST(told.in_time > untold.in_time + 0.1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -0,0 +1,327 @@
+#include "currantspar/relay/relay_core.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test_relay.hpp"
+
+namespace currantspar::relay {
+
+namespace {
+
+using test::at;
+using test::first;
+using test::make_call;
+
+constexpr auto prefill = config::engine_role::prefill;
+constexpr auto decode = config::engine_role::decode;
+
+/// A node that knows two plain servers, two engines that read prompts and two that make answers.
+struct served_node
+{
+    explicit served_node(double reserve = 1000) : core(options(reserve))
+    {
+        core.on_config(test::make_config());
+        for (const char* id : {"desk-1", "desk-2"}) {
+            core.directory().put(test::make_server(id, "desk"), at(0));
+        }
+        for (const char* id : {"reader-1", "reader-2"}) {
+            core.directory().put(test::make_server(id, "llm", prefill), at(0));
+        }
+        for (const char* id : {"decoder-1", "decoder-2"}) {
+            core.directory().put(test::make_server(id, "llm", decode), at(0));
+        }
+    }
+
+    static relay_options options(double reserve)
+    {
+        relay_options result;
+        result.data_centre = data_centre_id("a");
+        result.retries_reserve = reserve;
+        return result;
+    }
+
+    /// Sends a request and says that its first byte was written.
+    attempt_id sent(const request_facts& facts)
+    {
+        const relay_effects effects = core.on_request(request_number(++last), facts, at(1));
+        const auto* start = first<start_attempt>(effects);
+        BOOST_REQUIRE(start != nullptr);
+        core.on_written(start->attempt);
+        return start->attempt;
+    }
+
+    relay_core core;
+    std::uint64_t last = 0;
+};
+
+answer_facts signed_answer(int status)
+{
+    answer_facts facts;
+    facts.status = status;
+    facts.signed_ = true;
+    return facts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_core_tests)
+
+BOOST_AUTO_TEST_CASE(a_node_without_configuration_says_that_nothing_ran)
+{
+    relay_core core{relay_options{}};
+    const relay_effects effects = core.on_request(request_number(1), make_call("r", "/once/1"), at(0));
+    const auto* answer = first<reply>(effects);
+    BOOST_REQUIRE(answer != nullptr);
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST(answer->retry_after.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_route_is_not_found)
+{
+    served_node node;
+    const relay_effects effects = node.core.on_request(request_number(1), make_call("r", "/other/1"), at(0));
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_may_run_once_is_not_sent_again_after_a_lost_answer)
+{
+    served_node node;
+    const attempt_id attempt = node.sent(make_call("r", "/once/1"));
+    const relay_effects effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.1));
+    BOOST_TEST(first<start_attempt>(effects) == nullptr);
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_the_server_refused_goes_to_another_server)
+{
+    served_node node;
+    const relay_effects before = node.core.on_request(request_number(1), make_call("r", "/once/1"), at(1));
+    const auto* start = first<start_attempt>(before);
+    BOOST_REQUIRE(start != nullptr);
+    node.core.on_written(start->attempt);
+    const relay_effects effects = node.core.on_failure(start->attempt, attempt_failure::not_run, "503", at(1.1));
+    const auto* again = first<start_attempt>(effects);
+    BOOST_REQUIRE(again != nullptr);
+    BOOST_TEST((again->server != start->server));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_refused_everywhere_is_said_not_to_have_run)
+{
+    served_node node;
+    const attempt_id one = node.sent(make_call("r", "/once/1"));
+    const relay_effects second = node.core.on_failure(one, attempt_failure::not_run, "503", at(1.1));
+    const attempt_id two = first<start_attempt>(second)->attempt;
+    node.core.on_written(two);
+    const relay_effects effects = node.core.on_failure(two, attempt_failure::not_run, "503", at(1.2));
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_whose_answer_was_lost_runs_at_another_server_once_more_only)
+{
+    served_node node;
+    const attempt_id one = node.sent(make_call("r", "/read/1"));
+    const relay_effects second = node.core.on_failure(one, attempt_failure::lost, "reset", at(1.1));
+    BOOST_REQUIRE(first<start_attempt>(second) != nullptr);
+    const attempt_id two = first<start_attempt>(second)->attempt;
+    node.core.on_written(two);
+    const relay_effects effects = node.core.on_failure(two, attempt_failure::lost, "reset", at(1.2));
+    BOOST_TEST(first<start_attempt>(effects) == nullptr);
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_that_failed_at_its_server_is_tried_at_another_one)
+{
+    served_node node;
+    const attempt_id one = node.sent(make_call("r", "/read/1"));
+    const relay_effects second = node.core.on_answer(one, signed_answer(500), at(1.1));
+    BOOST_REQUIRE(first<start_attempt>(second) != nullptr);
+    const attempt_id two = first<start_attempt>(second)->attempt;
+    const relay_effects effects = node.core.on_answer(two, signed_answer(500), at(1.2));
+    BOOST_TEST(first<deliver_answer>(effects) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_answered_failure_of_a_call_that_may_run_once_is_delivered_as_it_is)
+{
+    served_node node;
+    const attempt_id attempt = node.sent(make_call("r", "/once/1"));
+    const relay_effects effects = node.core.on_answer(attempt, signed_answer(500), at(1.1));
+    BOOST_TEST(first<deliver_answer>(effects) != nullptr);
+    BOOST_TEST(first<start_attempt>(effects) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(at_the_timeout_a_sent_request_ends_with_gateway_timeout_and_its_attempt_is_cancelled)
+{
+    served_node node;
+    const attempt_id attempt = node.sent(make_call("r", "/once/1"));
+    BOOST_TEST(node.core.on_tick(at(2.4)).empty());
+    const relay_effects effects = node.core.on_tick(at(2.51));
+    BOOST_REQUIRE(first<cancel_attempt>(effects) != nullptr);
+    BOOST_TEST((first<cancel_attempt>(effects)->attempt == attempt));
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 504);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_left_has_its_attempt_cancelled_at_once)
+{
+    served_node node;
+    const attempt_id attempt = node.sent(make_call("r", "/read/1"));
+    const relay_effects effects = node.core.on_caller_gone(request_number(node.last), at(1.05));
+    BOOST_REQUIRE(first<cancel_attempt>(effects) != nullptr);
+    BOOST_TEST((first<cancel_attempt>(effects)->attempt == attempt));
+    BOOST_TEST(node.core.open_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_server_gets_no_new_work)
+{
+    served_node node;
+    server_entry leaving = test::make_server("desk-1", "desk");
+    leaving.draining = true;
+    node.core.directory().put(leaving, at(0.5));
+    for (int index = 0; index < 20; ++index) {
+        const relay_effects effects =
+            node.core.on_request(request_number(100U + static_cast<unsigned>(index)), make_call("r", "/read/1"), at(1));
+        BOOST_TEST((first<start_attempt>(effects)->server == backend_id("desk-2")));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_is_read_at_one_engine_and_taken_over_by_another)
+{
+    served_node node;
+    const relay_effects effects =
+        node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
+    const auto* read = first<start_attempt>(effects);
+    BOOST_REQUIRE(read != nullptr);
+    BOOST_TEST((read->stage == attempt_stage::read_prompt));
+    BOOST_TEST(!read->stream);
+    const relay_effects next = node.core.on_prompt_read(read->attempt, "h1", at(1.3));
+    const auto* run = first<start_attempt>(next);
+    BOOST_REQUIRE(run != nullptr);
+    BOOST_TEST((run->stage == attempt_stage::take_over));
+    BOOST_TEST(run->handle == "h1");
+    BOOST_TEST(run->stream);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_take_over_goes_to_another_decoder_without_reading_the_prompt_again)
+{
+    served_node node;
+    const relay_effects effects =
+        node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
+    const relay_effects run = node.core.on_prompt_read(first<start_attempt>(effects)->attempt, "h1", at(1.3));
+    const auto* refused = first<start_attempt>(run);
+    const backend_id decoder = refused->server;
+    node.core.on_written(refused->attempt);
+    const relay_effects again = node.core.on_failure(refused->attempt, attempt_failure::not_run, "503", at(1.31));
+    const auto* other = first<start_attempt>(again);
+    BOOST_REQUIRE(other != nullptr);
+    BOOST_TEST((other->stage == attempt_stage::take_over));
+    BOOST_TEST(other->handle == "h1");
+    BOOST_TEST((other->server != decoder));
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_whose_prompts_lapse_reads_none_for_a_while)
+{
+    served_node node;
+    const relay_effects effects =
+        node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
+    const backend_id reader = first<start_attempt>(effects)->server;
+    relay_effects run = node.core.on_prompt_read(first<start_attempt>(effects)->attempt, "h1", at(1.3));
+    for (int refusals = 0; refusals < 2; ++refusals) {
+        const attempt_id attempt = first<start_attempt>(run)->attempt;
+        node.core.on_written(attempt);
+        run = node.core.on_failure(attempt, attempt_failure::not_run, "503", at(1.31));
+    }
+    const relay_effects other =
+        node.core.on_request(request_number(2), test::make_prompt("r2", 7, 13300, 3700), at(1.4));
+    BOOST_TEST((first<start_attempt>(other)->server != reader));
+}
+
+/// The rule that failed: a retry that had its prompt read again was counted once though two calls arrived.
+BOOST_AUTO_TEST_CASE(arrivals_beyond_the_first_stay_within_the_budget_of_retries)
+{
+    constexpr double reserve_of_all_nodes = 40;
+    constexpr double nodes = 2;
+    served_node node(reserve_of_all_nodes);
+    node.core.on_nodes(static_cast<std::size_t>(nodes));
+    unsigned requests = 0;
+    unsigned extra = 0;
+    for (unsigned number = 1; number <= 60; ++number) {
+        ++requests;
+        relay_effects effects =
+            node.core.on_request(request_number(number), test::make_prompt("r", number, 4000, 500), at(1));
+        unsigned reads = 0;
+        unsigned runs = 0;
+        while (const auto* start = first<start_attempt>(effects)) {
+            const attempt_id attempt = start->attempt;
+            const bool reading = start->stage == attempt_stage::read_prompt;
+            (reading ? reads : runs) += 1;
+            node.core.on_written(attempt);
+            effects = reading ? node.core.on_prompt_read(attempt, "h", at(1.01))
+                              : node.core.on_failure(attempt, attempt_failure::not_run, "503", at(1.02));
+        }
+        extra += (reads > 0 ? reads - 1 : 0) + (runs > 0 ? runs - 1 : 0);
+    }
+    BOOST_TEST(extra <= reserve_of_all_nodes / nodes + 0.1 * requests);
+    BOOST_TEST(extra > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_that_may_be_resumed_goes_on_after_its_last_event)
+{
+    served_node node;
+    request_facts facts = test::make_prompt("r", 7, 300, 200);
+    facts.path = "/resume/1";
+    attempt_id attempt = node.sent(facts);
+    relay_effects effects = node.core.on_prompt_read(attempt, "h", at(1.1));
+    if (const auto* run = first<start_attempt>(effects)) {
+        attempt = run->attempt;
+        node.core.on_written(attempt);
+    }
+    BOOST_TEST(first<open_answer>(node.core.on_stream_head(attempt, at(1.2)))->with_head);
+    static_cast<void>(node.core.on_events(attempt, "5", at(1.3)));
+    effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.4));
+    const auto* again = first<start_attempt>(effects);
+    BOOST_REQUIRE(again != nullptr);
+    BOOST_TEST(again->resume_after == "5");
+    BOOST_TEST((again->stage == attempt_stage::whole));
+    BOOST_TEST(!first<open_answer>(node.core.on_stream_head(again->attempt, at(1.5)))->with_head);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_that_may_not_be_resumed_is_cut_and_never_ended)
+{
+    served_node node;
+    attempt_id attempt = node.sent(test::make_prompt("r", 7, 300, 200));
+    relay_effects effects = node.core.on_prompt_read(attempt, "h", at(1.1));
+    attempt = first<start_attempt>(effects)->attempt;
+    node.core.on_written(attempt);
+    static_cast<void>(node.core.on_stream_head(attempt, at(1.2)));
+    effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.4));
+    BOOST_TEST(first<start_attempt>(effects) == nullptr);
+    BOOST_TEST(first<end_answer>(effects) == nullptr);
+    BOOST_TEST(first<break_answer>(effects) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(the_accounts_balance)
+{
+    served_node node;
+    const attempt_id answered = node.sent(make_call("r1", "/once/1"));
+    static_cast<void>(node.core.on_answer(answered, signed_answer(200), at(1.1)));
+    const attempt_id lost = node.sent(make_call("r2", "/once/1"));
+    static_cast<void>(node.core.on_failure(lost, attempt_failure::lost, "reset", at(1.1)));
+    node.sent(make_call("r3", "/once/1"));
+    static_cast<void>(node.core.on_caller_gone(request_number(node.last), at(1.2)));
+    node.sent(make_call("r4", "/once/1"));
+    const core::ledger_account& account = node.core.accounts().at(service_id("desk"));
+    BOOST_TEST(account.accepted == 4U);
+    BOOST_TEST(account.answered == 1U);
+    BOOST_TEST(account.unknown == 1U);
+    BOOST_TEST(account.caller_gone == 1U);
+    BOOST_TEST(account.in_flight == 1U);
+    BOOST_TEST(account.difference() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/role_plan_test.cpp
@@ -0,0 +1,96 @@
+#include "currantspar/relay/role_plan.hpp"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "test_relay.hpp"
+
+namespace currantspar::relay {
+
+namespace {
+
+constexpr auto prefill = config::engine_role::prefill;
+constexpr auto decode = config::engine_role::decode;
+
+std::vector<server_entry> fleet(unsigned readers, unsigned decoders)
+{
+    std::vector<server_entry> engines;
+    for (unsigned index = 0; index < readers + decoders; ++index) {
+        const std::string id = "engine-" + std::to_string(index);
+        engines.push_back(
+            test::make_server(id, "llm", index < readers ? prefill : decode, index % 2 == 0 ? "a" : "b"));
+    }
+    return engines;
+}
+
+unsigned count_to(const std::vector<role_change>& changes, config::engine_role role)
+{
+    return static_cast<unsigned>(std::count_if(changes.begin(), changes.end(),
+                                               [&](const role_change& change) { return change.role == role; }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(role_plan_tests)
+
+/// Prompts are long and answers short: most engines read.
+BOOST_AUTO_TEST_CASE(before_traffic_most_engines_are_made_to_read_prompts)
+{
+    const auto changes = plan_roles(fleet(7, 11), {}, false, {});
+    BOOST_TEST(count_to(changes, prefill) == 7U);
+    BOOST_TEST(count_to(changes, decode) == 0U);
+}
+
+/// Several decode engines crash under load: the few left would refuse answers.
+BOOST_AUTO_TEST_CASE(decoders_that_fail_are_replaced_from_the_readers)
+{
+    const auto changes = plan_roles(fleet(14, 2), {}, true, {});
+    BOOST_TEST(count_to(changes, decode) == 2U);
+    BOOST_TEST(count_to(changes, prefill) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_small_shortfall_of_readers_under_load_is_not_worth_an_order)
+{
+    BOOST_TEST(plan_roles(fleet(12, 6), {}, true, {}).empty());
+    BOOST_TEST(!plan_roles(fleet(10, 8), {}, true, {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(changes_on_their_way_count_as_done)
+{
+    const auto engines = fleet(13, 5);
+    BOOST_TEST(plan_roles(engines, {engines.back().id}, false, {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(under_load_few_engines_change_at_one_time)
+{
+    BOOST_TEST(plan_roles(fleet(2, 16), {}, true, {}).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_fleet_of_few_engines_keeps_both_roles)
+{
+    const auto changes = plan_roles(fleet(0, 2), {}, false, {.readers_missing = 0});
+    BOOST_TEST(count_to(changes, prefill) <= 1U);
+    BOOST_TEST(plan_roles(fleet(0, 1), {}, false, {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(all_data_centres_keep_decoders)
+{
+    auto engines = fleet(7, 11);
+    for (const role_change& change : plan_roles(engines, {}, false, {})) {
+        for (server_entry& engine : engines) {
+            if (engine.id == change.engine) {
+                engine.role = change.role;
+            }
+        }
+    }
+    for (const char* data_centre : {"a", "b"}) {
+        BOOST_TEST(std::any_of(engines.begin(), engines.end(), [&](const server_entry& engine) {
+            return engine.role == decode && engine.data_centre.str() == data_centre;
+        }));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/test_readers.hpp
@@ -0,0 +1,109 @@
+#ifndef CURRANTSPAR_RELAY_TEST_READERS_HPP
+#define CURRANTSPAR_RELAY_TEST_READERS_HPP
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "currantspar/relay/engine_choice.hpp"
+#include "test_relay.hpp"
+
+namespace currantspar::relay::test {
+
+/// The pattern: many small nodes place long prompts that share a few dozen parts at the same engines.
+struct shared_prompt_load
+{
+    unsigned nodes = 14;
+    unsigned readers = 14;
+    unsigned decoders = 4;
+    unsigned parts = 83;
+    double requests_per_second = 27.5;
+    double seconds = 20;
+    double warm_up = 6; ///< seconds whose requests don't count: every part is cold at first
+    std::uint32_t shared_tokens = 13300;
+    std::uint32_t own_tokens = 3720;
+    double target_ms = 600;
+};
+
+/// What became of the load.
+struct reading_result
+{
+    double in_time = 0;     ///< share of the prompts read within the target
+    double read_again = 0;  ///< shared tokens read though some engine had them, by shared tokens asked for
+};
+
+/// Chooses the engine that reads a request placed at `node`.
+using chooser = std::function<backend_id(unsigned node, const request_facts&, instant)>;
+
+/// Plays a load against engines that read one prompt after the other and keep every shared part that they read.
+class reader_fleet
+{
+public:
+    explicit reader_fleet(shared_prompt_load load) : load_(load)
+    {
+        for (unsigned index = 0; index < load.readers + load.decoders; ++index) {
+            const bool reads = index < load.readers;
+            engines_.push_back(make_server((reads ? "reader-" : "decoder-") + std::to_string(index), "llm",
+                                           reads ? config::engine_role::prefill : config::engine_role::decode));
+        }
+    }
+
+    [[nodiscard]] const std::vector<server_entry>& engines() const { return engines_; }
+    [[nodiscard]] double free_at(const backend_id& engine) { return free_at_[engine]; }
+    [[nodiscard]] bool cached(const backend_id& engine, std::uint64_t part) { return cached_[engine].contains(part); }
+
+    /// `done` is told each request's engine and when its prompt was read.
+    reading_result play(const chooser& choose, const std::function<void(unsigned, const request_facts&, double)>& done)
+    {
+        random_generator random(11);
+        unsigned counted = 0;
+        unsigned in_time = 0;
+        double again = 0;
+        double asked = 0;
+        for (double now = 0; now < load_.seconds; now += -std::log(1 - random.unit()) / load_.requests_per_second) {
+            const std::uint64_t part = 1 + random.below(load_.parts);
+            const auto node = static_cast<unsigned>(random.below(load_.nodes));
+            const request_facts request = make_prompt("r", part, load_.shared_tokens, load_.own_tokens);
+            const backend_id engine = choose(node, request, at(1 + now));
+            const bool known = cached_[engine].contains(part);
+            const bool known_somewhere = !known && std::any_of(cached_.begin(), cached_.end(), [&](const auto& each) {
+                return each.second.contains(part);
+            });
+            const double read_s = read_seconds(known ? load_.shared_tokens : 0);
+            const double ready = std::max(now, free_at_[engine]) + read_s;
+            free_at_[engine] = ready;
+            cached_[engine].insert(part);
+            done(node, request, ready);
+            if (now < load_.warm_up) {
+                continue;
+            }
+            ++counted;
+            in_time += (ready - now) * 1000 <= load_.target_ms ? 1 : 0;
+            again += known_somewhere ? load_.shared_tokens : 0;
+            asked += load_.shared_tokens;
+        }
+        return {static_cast<double>(in_time) / counted, again / asked};
+    }
+
+private:
+    /// An engine reads 64 tokens a millisecond, and attends to each earlier token.
+    [[nodiscard]] double read_seconds(std::uint32_t cached) const
+    {
+        const double total = load_.shared_tokens + load_.own_tokens;
+        const double fresh = total - cached;
+        const double pairs = fresh * (total + cached) / 2;
+        return (fresh / 64.2 + pairs / 1e6 * 0.647) / 1000;
+    }
+
+    shared_prompt_load load_;
+    std::vector<server_entry> engines_;
+    std::map<backend_id, double> free_at_;
+    std::map<backend_id, std::set<std::uint64_t>> cached_;
+};
+
+} // namespace currantspar::relay::test
+
+#endif
--- /dev/null
+++ b/src/currantspar/relay/test_relay.hpp
@@ -0,0 +1,105 @@
+#ifndef CURRANTSPAR_RELAY_TEST_RELAY_HPP
+#define CURRANTSPAR_RELAY_TEST_RELAY_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "currantspar/relay/relay_core.hpp"
+
+namespace currantspar::relay::test {
+
+inline instant at(double seconds)
+{
+    return instant(from_seconds(seconds));
+}
+
+inline server_entry make_server(const std::string& id, const std::string& service,
+                                std::optional<config::engine_role> role = std::nullopt,
+                                const std::string& data_centre = "a")
+{
+    server_entry entry;
+    entry.id = backend_id(id);
+    entry.service = service_id(service);
+    entry.address = "10.0.0.1:80";
+    entry.data_centre = data_centre_id(data_centre);
+    entry.slots = 6;
+    entry.role = role;
+    return entry;
+}
+
+inline route_spec make_route(const std::string& prefix, repetition kind, const std::string& service)
+{
+    route_spec route;
+    route.name = prefix;
+    route.host = "shop.example";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(2);
+    route.target = std::chrono::milliseconds(150);
+    route.max_attempts = kind == repetition::idempotent ? 2 : 1;
+    route.services = {{service_id(service), 1}};
+    return route;
+}
+
+/// Routes /once/ and /read/ to plain service "desk", /stream/ and /resume/ to model service "llm".
+inline std::shared_ptr<relay_config> make_config(std::uint64_t version = 1)
+{
+    auto config = std::make_shared<relay_config>();
+    config->version = version;
+    config->routes = {make_route("/once/", repetition::at_most_once, "desk"),
+                      make_route("/read/", repetition::idempotent, "desk"),
+                      make_route("/stream/", repetition::stream, "llm"),
+                      make_route("/resume/", repetition::stream, "llm")};
+    config->routes[3].resumable = true;
+    config->routes[3].max_attempts = 2;
+    relayed_service desk;
+    desk.id = service_id("desk");
+    relayed_service llm;
+    llm.id = service_id("llm");
+    llm.engines = engine_traits{64, 450000, 163840, 1600000.0, std::chrono::seconds(5)};
+    config->services = {desk, llm};
+    return config;
+}
+
+/// A prompt of one shared part and one part of its own.
+inline request_facts make_prompt(const std::string& id, std::uint64_t shared_part, std::uint32_t shared_tokens,
+                                 std::uint32_t own_tokens)
+{
+    static std::uint64_t own_part = 1000000;
+    request_facts facts;
+    facts.id = id;
+    facts.host = "shop.example";
+    facts.path = "/stream/1";
+    facts.prompt_tokens = shared_tokens + own_tokens;
+    facts.max_output = 100;
+    facts.parts = {{shared_part, shared_tokens}, {++own_part, own_tokens}};
+    return facts;
+}
+
+inline request_facts make_call(const std::string& id, const std::string& path)
+{
+    request_facts facts;
+    facts.id = id;
+    facts.host = "shop.example";
+    facts.path = path;
+    facts.time_left = std::chrono::milliseconds(1500);
+    return facts;
+}
+
+/// The first effect of a kind, or null.
+template <typename Effect>
+const Effect* first(const relay_effects& effects)
+{
+    for (const relay_effect& effect : effects) {
+        if (const auto* found = std::get_if<Effect>(&effect)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace currantspar::relay::test
+
+#endif
