--- /dev/null
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -0,0 +1,386 @@
+#include "gateway_node.hpp"
+
+#include <future>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Reactor.h>
+#include <boost/test/unit_test.hpp>
+
+#include "currantspar/io/clock.hpp"
+#include "test_peer.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+using test::scripted_answer;
+using test::scripted_server;
+
+/// A wire protocol with plain names, whose configuration and servers a test sets.
+class fake_protocol : public wire_protocol
+{
+public:
+    result<gateway_settings> read_settings() const override { return settings; }
+    bool is_ready_question(const http_request& request) const override { return request.target == "/ready"; }
+    result<relay::request_facts> decode_request(const http_request& request) const override
+    {
+        relay::request_facts facts;
+        facts.id = field(request.fields, "Id");
+        facts.host = field(request.fields, "Host");
+        facts.path = request.target;
+        return facts;
+    }
+    std::string encode_attempt(const http_request& request,
+                               const relay::start_attempt& attempt) const override
+    {
+        http_request out = request;
+        if (!attempt.resume_after.empty()) {
+            out.fields.push_back({"Resume", attempt.resume_after});
+        }
+        return write_request(out);
+    }
+    relay::answer_facts decode_answer(int status, const http_fields& fields) const override
+    {
+        relay::answer_facts facts;
+        facts.status = status;
+        facts.request_id = field(fields, "Id");
+        facts.signed_ = find_field(fields, "Proof") != nullptr;
+        facts.not_run = find_field(fields, "Not-Run") != nullptr;
+        return facts;
+    }
+    result<std::string> decode_prompt_handle(std::string_view) const override { return std::string("h"); }
+    std::string encode_free_prompt(const relay::free_prompt&) const override { return {}; }
+    http_fields encode_reply(const relay::reply&) const override { return {}; }
+    std::string encode_newest(shared_topic topic, const std::string&) const override
+    {
+        return write_request(
+            {"GET", "/newest/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
+    }
+    result<newest_page> decode_newest(const http_answer& answer) const override
+    {
+        newest_page page;
+        if (answer.body == "configuration") {
+            page.records.push_back({0, "configuration", "c"});
+        } else if (answer.body == "servers") {
+            for (const relay::server_entry& server : servers) {
+                page.records.push_back({0, server.id.str(), "s"});
+            }
+        }
+        return page;
+    }
+    std::string encode_read(shared_topic topic, std::uint64_t, duration) const override
+    {
+        return write_request(
+            {"GET", "/read/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
+    }
+    result<record_batch> decode_read(const http_answer&, std::uint64_t from) const override
+    {
+        return record_batch{{}, from, false};
+    }
+    std::string encode_put(shared_topic, const std::string&, const std::string&) const override { return {}; }
+    std::string encode_put_at(shared_topic, const std::string&, const std::string&,
+                              std::uint64_t) const override
+    {
+        return {};
+    }
+    result<std::uint64_t> decode_put(const http_answer&) const override { return 0U; }
+    std::string encode_status(const relay::server_entry&) const override { return {}; }
+    result<engine_status> decode_status(const http_answer&) const override { return engine_status{}; }
+    std::string encode_order(const relay::server_entry&, const role_order&) const override { return {}; }
+    order_outcome decode_order(const http_answer&) const override { return order_outcome::refused; }
+    result<std::shared_ptr<const relay::relay_config>> decode_config(const keyed_record&) const override
+    {
+        return config;
+    }
+    result<relay::server_entry> decode_server(const keyed_record& record) const override
+    {
+        for (const relay::server_entry& server : servers) {
+            if (server.id.str() == record.key) {
+                return server;
+            }
+        }
+        return fail(error_kind::invalid, "no such server");
+    }
+
+    gateway_settings settings;
+    std::shared_ptr<const relay::relay_config> config;
+    std::vector<relay::server_entry> servers;
+
+private:
+    static std::string field(const http_fields& fields, std::string_view name)
+    {
+        const std::string* value = find_field(fields, name);
+        return value == nullptr ? std::string() : *value;
+    }
+};
+
+relay::route_spec make_route(const std::string& prefix, relay::repetition kind)
+{
+    relay::route_spec route;
+    route.host = "shop";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(2);
+    route.target = std::chrono::milliseconds(100);
+    route.max_attempts = kind == relay::repetition::idempotent ? 2 : 1;
+    route.services = {{service_id("desk"), 1}};
+    return route;
+}
+
+/// A node between a scripted store, scripted servers and raw callers, driven by the test's thread.
+struct running_node
+{
+    explicit running_node(std::vector<scripted_server::handler> handlers)
+        : store([](const http_request& request) { return answer_store(request); })
+    {
+        auto config = std::make_shared<relay::relay_config>();
+        config->version = 1;
+        config->routes = {make_route("/once/", relay::repetition::at_most_once),
+                          make_route("/read/", relay::repetition::idempotent),
+                          make_route("/stream/", relay::repetition::stream)};
+        wire.config = config;
+        for (scripted_server::handler& handler : handlers) {
+            servers.push_back(std::make_unique<scripted_server>(std::move(handler)));
+            relay::server_entry entry;
+            entry.id = backend_id("server-" + std::to_string(servers.size()));
+            entry.service = service_id("desk");
+            entry.address = servers.back()->address();
+            wire.servers.push_back(entry);
+        }
+        wire.settings.node = "node";
+        wire.settings.front_address = test::free_address();
+        wire.settings.ready_address = test::free_address();
+        wire.settings.store_address = store.address();
+        wire.settings.retry_reserve = 1000;
+        node = std::make_unique<gateway_node>(reactor, wire, wire.settings);
+        BOOST_REQUIRE(node->start().has_value());
+        turn([this] { return ready(); });
+    }
+
+    static scripted_answer answer_store(const http_request& request)
+    {
+        const std::string body = request.target == "/newest/0"   ? "configuration"
+                                 : request.target == "/newest/1" ? "servers"
+                                                                 : "";
+        return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    }
+
+    bool ready()
+    {
+        ticks += 1;
+        return ticks > 40;
+    }
+
+    /// Runs the node until `done` says so; false when it takes more than three seconds.
+    bool turn(const std::function<bool()>& done)
+    {
+        const instant begun = io::monotonic_now();
+        while (!done()) {
+            const instant now = io::monotonic_now();
+            if (now - begun > std::chrono::seconds(3)) {
+                return false;
+            }
+            node->on_tick(now);
+            ACE_Time_Value wait(0, 5000);
+            reactor.handle_events(wait);
+        }
+        return true;
+    }
+
+    /// A caller's exchange that ends when `enough` says so or the connection does.
+    std::string call(const std::string& bytes, const std::function<bool(const std::string&)>& enough)
+    {
+        auto caller =
+            std::async(std::launch::async, test::exchange, wire.settings.front_address, bytes, enough);
+        BOOST_TEST(
+            turn([&] { return caller.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
+        return caller.get();
+    }
+
+    ACE_Reactor reactor{new ACE_Dev_Poll_Reactor, true};
+    scripted_server store;
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    fake_protocol wire;
+    std::unique_ptr<gateway_node> node;
+    unsigned ticks = 0;
+};
+
+std::string request(const std::string& method, const std::string& path, const std::string& id,
+                    const std::string& body = "")
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: shop\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string answer(const std::string& id, const std::string& body, const std::string& more = "Proof: p\r\n")
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string id_of(const http_request& from)
+{
+    const std::string* id = find_field(from.fields, "Id");
+    return id == nullptr ? "" : *id;
+}
+
+scripted_answer echo(const http_request& from)
+{
+    return {answer(id_of(from), "echo " + from.body)};
+}
+
+std::function<bool(const std::string&)> ends_with(const std::string& end)
+{
+    return [end](const std::string& received) { return received.ends_with(end); };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_node_tests)
+
+BOOST_AUTO_TEST_CASE(a_call_travels_to_its_server_and_back)
+{
+    running_node run({echo});
+    const std::string received = run.call(request("POST", "/once/1", "a", "hello"), ends_with("echo hello"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 200 OK\r\n"));
+    BOOST_TEST(received.find("Proof: p\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(requests_on_one_connection_are_answered_in_their_order)
+{
+    running_node run({echo});
+    const std::string received =
+        run.call(request("POST", "/once/1", "a", "one") + request("POST", "/once/2", "b", "two"),
+                 ends_with("echo two"));
+    BOOST_TEST(received.find("echo one") < received.find("echo two"));
+    BOOST_TEST(run.servers[0]->requests() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_proof_or_cut_short_is_no_success)
+{
+    for (const std::string& spoilt :
+         {answer("a", "body", ""),
+          std::string("HTTP/1.1 200 OK\r\nId: a\r\nProof: p\r\nContent-Length: 9\r\n\r\nbody"),
+          std::string("nonsense\r\n\r\n"),
+          answer("a", "body", "Proof: p\r\nContent-Encoding: gzip\r\n").substr(0, 30)}) {
+        running_node run({[spoilt](const http_request&) { return scripted_answer{spoilt, true}; }});
+        const std::string received = run.call(request("POST", "/once/1", "a"), ends_with("\r\n\r\n"));
+        BOOST_TEST(received.starts_with("HTTP/1.1 502"), spoilt);
+        BOOST_TEST(run.servers[0]->requests() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_may_run_once_is_written_once_when_its_connection_is_reset)
+{
+    const auto reset = [](const http_request&) { return scripted_answer{"", true, true}; };
+    running_node run({reset, reset});
+    const std::string received = run.call(request("POST", "/once/1", "a"), ends_with("\r\n\r\n"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(run.servers[0]->requests() + run.servers[1]->requests() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_is_repeated_at_another_server_when_its_connection_is_reset)
+{
+    std::atomic<unsigned> calls = 0;
+    const auto first_resets = [&calls](const http_request& from) {
+        return calls++ == 0 ? scripted_answer{"", true, true} : echo(from);
+    };
+    running_node run({first_resets, first_resets});
+    const std::string received = run.call(request("GET", "/read/1", "a"), ends_with("echo "));
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(calls.load() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_extra_answer_reaches_nobody)
+{
+    running_node run({[](const http_request& from) {
+        return scripted_answer{answer(id_of(from), "mine") + answer("other", "stray")};
+    }});
+    for (int round = 0; round < 3; ++round) {
+        const std::string received = run.call(request("POST", "/once/1", "a"), ends_with("mine"));
+        BOOST_TEST(received.find("stray") == std::string::npos);
+        BOOST_TEST(received.find("mine") != std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_to_another_request_is_skipped)
+{
+    running_node run({[](const http_request& from) {
+        return scripted_answer{answer("other", "stray") + answer(id_of(from), "mine")};
+    }});
+    const std::string received = run.call(request("POST", "/once/1", "a"), ends_with("mine"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(received.find("stray") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(events_are_passed_on_and_a_whole_stream_is_ended)
+{
+    running_node run({[](const http_request& from) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\nId: " + id_of(from) +
+                               "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n"};
+    }});
+    const std::string received = run.call(request("POST", "/stream/1", "a"), ends_with("0\r\n\r\n"));
+    BOOST_TEST(received.find("id: 1\ndata: x\n\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_breaks_does_not_look_whole)
+{
+    running_node run({[](const http_request& from) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\nId: " + id_of(from) +
+                                   "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "f\r\nid: 1\ndata: x\n\n\r\n9\r\nid: 2\ndat\r\n",
+                               true, true};
+    }});
+    const std::string received = run.call(request("POST", "/stream/1", "a"), ends_with("0\r\n\r\n"));
+    BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+    BOOST_TEST(received.find("id: 2") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_frees_the_server_within_half_a_second)
+{
+    running_node run({[](const http_request&) { return scripted_answer{"", false, false, true}; }});
+    test::raw_caller caller(run.wire.settings.front_address, request("GET", "/read/1", "a"));
+    BOOST_TEST(run.turn([&] { return run.servers[0]->requests() == 1; }));
+    const instant left = io::monotonic_now();
+    caller.hang_up();
+    BOOST_TEST(run.turn([&] { return run.servers[0]->abandoned() == 1; }));
+    BOOST_TEST((io::monotonic_now() - left < std::chrono::milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_request_gets_a_clear_status_and_harms_no_neighbour)
+{
+    running_node run({echo});
+    const std::string both = "POST /once/1 HTTP/1.1\r\nHost: shop\r\nId: a\r\nContent-Length: 3\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\nabc";
+    BOOST_TEST(run.call(both, ends_with("\r\n\r\n")).starts_with("HTTP/1.1 400"));
+    const std::string large =
+        "GET /read/1 HTTP/1.1\r\nHost: shop\r\nX: " + std::string(70000, 'x') + "\r\n\r\n";
+    BOOST_TEST(run.call(large, ends_with("\r\n\r\n")).starts_with("HTTP/1.1 431"));
+    BOOST_TEST(run.call(request("POST", "/once/1", "b", "fine"), ends_with("echo fine"))
+                   .starts_with("HTTP/1.1 200"));
+    BOOST_TEST(run.servers[0]->requests() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_node_is_not_ready_and_still_answers)
+{
+    running_node run({echo});
+    const auto ask = [&] {
+        auto caller =
+            std::async(std::launch::async, test::exchange, run.wire.settings.ready_address,
+                       std::string("GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"), ends_with("\r\n\r\n"));
+        BOOST_TEST(
+            run.turn([&] { return caller.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
+        return caller.get();
+    };
+    BOOST_TEST(ask().starts_with("HTTP/1.1 200"));
+    run.node->stop(io::monotonic_now());
+    BOOST_TEST(ask().starts_with("HTTP/1.1 503"));
+    const std::string received = run.call(request("POST", "/once/1", "a", "late"), ends_with("echo late"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(received.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/message_test.cpp
@@ -0,0 +1,149 @@
+#include "currantspar/gateway/message_reader.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "currantspar/gateway/event_splitter.hpp"
+#include "currantspar/gateway/peer_link.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+read_progress read_request(std::string bytes, reader_limits limits = {})
+{
+    request_reader reader(limits);
+    return reader.read(bytes);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(message_tests)
+
+BOOST_AUTO_TEST_CASE(a_request_is_read_byte_by_byte)
+{
+    const std::string text =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    request_reader reader({});
+    std::string bytes;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        bytes.push_back(text[index]);
+        const read_progress progress = reader.read(bytes);
+        BOOST_TEST((progress == (index + 1 == text.size() ? read_progress::complete : read_progress::more)));
+    }
+    const http_request request = reader.take();
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.target == "/a");
+    BOOST_TEST(request.body == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(what_follows_a_request_belongs_to_the_next_one)
+{
+    std::string bytes = "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    request_reader reader({});
+    BOOST_TEST((reader.read(bytes) == read_progress::complete));
+    BOOST_TEST(bytes == "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ambiguous_requests_are_malformed)
+{
+    const std::string host = "Host: h\r\n";
+    const char* cases[] = {
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "X-A: 1\r\n folded\r\n\r\n",
+        "X-A: 1\r\n\tfolded\r\n\r\n",
+        "X-A : 1\r\n\r\n",
+        "Content-Length: -1\r\n\r\n",
+        "Host: other\r\n\r\n",
+        "no colon\r\n\r\n",
+    };
+    for (const char* fields : cases) {
+        BOOST_TEST((read_request("POST /a HTTP/1.1\r\n" + host + fields) == read_progress::malformed),
+                   fields);
+    }
+    BOOST_TEST((read_request("GET /a HTTP/1.1\r\n\r\n") == read_progress::malformed));
+    BOOST_TEST((read_request("GET /a HTTP/1.0\r\nHost: h\r\n\r\n") == read_progress::malformed));
+    BOOST_TEST((read_request("nonsense\r\n\r\n") == read_progress::malformed));
+}
+
+BOOST_AUTO_TEST_CASE(oversized_requests_are_told_from_malformed_ones)
+{
+    const reader_limits small{256, 10};
+    BOOST_TEST((read_request("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(400, 'x') + "\r\n\r\n",
+                             small) == read_progress::head_too_large));
+    BOOST_TEST((read_request("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", small) ==
+                read_progress::body_too_large));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_ends_with_its_connection)
+{
+    answer_reader reader({65536, 65536});
+    std::string bytes = "HTTP/1.1 200 OK\r\n\r\npart";
+    BOOST_TEST((reader.read(bytes) == read_progress::more));
+    BOOST_TEST(!reader.keep_alive());
+    BOOST_TEST(reader.take_body() == "part");
+    BOOST_TEST(reader.end_of_connection());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_is_not_whole)
+{
+    answer_reader reader({65536, 65536});
+    std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart";
+    BOOST_TEST((reader.read(bytes) == read_progress::more));
+    BOOST_TEST(!reader.end_of_connection());
+    answer_reader chunked({65536, 65536});
+    bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    BOOST_TEST((chunked.read(bytes) == read_progress::more));
+    BOOST_TEST(!chunked.end_of_connection());
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_are_skipped_and_extra_bytes_left)
+{
+    answer_reader reader({65536, 65536});
+    std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nextra";
+    BOOST_TEST((reader.read(bytes) == read_progress::complete));
+    BOOST_TEST(reader.status() == 204);
+    BOOST_TEST(bytes == "extra");
+}
+
+BOOST_AUTO_TEST_CASE(only_whole_events_are_passed_on)
+{
+    event_splitter events;
+    BOOST_TEST(events.push("id: 1\nda").empty());
+    BOOST_TEST(events.push("ta: x\n\nid: 2\n") == "id: 1\ndata: x\n\n");
+    BOOST_TEST(events.last_id() == "1");
+    BOOST_TEST(!events.at_event_end());
+    BOOST_TEST(events.push("data: y\n\n") == "id: 2\ndata: y\n\n");
+    BOOST_TEST(events.last_id() == "2");
+    BOOST_TEST(events.at_event_end());
+}
+
+BOOST_AUTO_TEST_CASE(fields_are_found_whatever_their_case)
+{
+    const http_fields fields = {{"Keep-Alive", "timeout=5"}, {"connection", "close, X-A"}};
+    BOOST_TEST(*find_field(fields, "keep-alive") == "timeout=5");
+    BOOST_TEST(find_field(fields, "other") == nullptr);
+    BOOST_TEST(has_token(fields, "Connection", "x-a"));
+    BOOST_TEST(!has_token(fields, "Connection", "x"));
+}
+
+BOOST_AUTO_TEST_CASE(digests_survive_the_wire_and_garbage_does_not)
+{
+    const load_digest digest{"10.0.0.1:7380", 5, true, {{17, {120, 3, 51000}}}, {{17, 99}}, 8};
+    const auto read = decode_digest(encode_digest(digest));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->sender == digest.sender);
+    BOOST_TEST(read->whole);
+    BOOST_TEST(read->engines.at(17).tokens == 51000);
+    BOOST_TEST(read->parts.at(0).part == 99U);
+    BOOST_TEST(read->configuration == 8U);
+    BOOST_TEST(!decode_digest("").has_value());
+    for (std::size_t length = 1; length < 24; ++length) {
+        static_cast<void>(decode_digest(std::string(length, '\xff')));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::gateway
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -130,7 +130,7 @@
 {
     std::erase_if(changing_, [&](const auto& entry) { return now >= entry.second.until; });
     std::set<backend_id> changing;
-    for (const auto& [engine, change] : changing_) {
+    for (const auto& [engine, ordered] : changing_) {
         changing.insert(engine);
     }
     std::vector<relay::role_change> wanted;
--- /dev/null
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -0,0 +1,81 @@
+#ifndef CURRANTSPAR_GATEWAY_TEST_PEER_HPP
+#define CURRANTSPAR_GATEWAY_TEST_PEER_HPP
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "currantspar/gateway/message_reader.hpp"
+
+namespace currantspar::gateway::test {
+
+/// What a scripted server does with a request.
+struct scripted_answer
+{
+    std::string bytes;
+    bool close = false; ///< after the bytes; `reset` with a reset
+    bool reset = false;
+    bool hold = false; ///< wait until the other side closes
+};
+
+/// A server on a free loopback port whose answers a test scripts byte for byte.
+class scripted_server
+{
+public:
+    using handler = std::function<scripted_answer(const http_request&)>;
+
+    explicit scripted_server(handler answer);
+    ~scripted_server();
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    /// `127.0.0.1:port`.
+    [[nodiscard]] const std::string& address() const { return address_; }
+    /// Requests that were read so far.
+    [[nodiscard]] unsigned requests() const { return requests_; }
+    /// Held connections that the other side has closed.
+    [[nodiscard]] unsigned abandoned() const { return abandoned_; }
+
+private:
+    void accept_all();
+    void serve(int connection);
+
+    handler answer_;
+    std::string address_;
+    int listener_ = -1;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<unsigned> requests_ = 0;
+    std::atomic<unsigned> abandoned_ = 0;
+    std::mutex mutex_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+/// A caller that sends bytes and never reads.
+class raw_caller
+{
+public:
+    raw_caller(const std::string& address, const std::string& bytes);
+    ~raw_caller();
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    void hang_up();
+
+private:
+    int connection_;
+};
+
+/// Sends bytes to `IP:port` and returns all that comes back until the connection ends or `enough` says so.
+std::string exchange(const std::string& address, const std::string& bytes,
+                     const std::function<bool(const std::string&)>& enough);
+
+/// A port that was free a moment ago, as `127.0.0.1:port`.
+std::string free_address();
+
+} // namespace currantspar::gateway::test
+
+#endif
--- /dev/null
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -0,0 +1,174 @@
+#include "test_peer.hpp"
+
+#include <array>
+#include <cstring>
+#include <optional>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "currantspar/io/address.hpp"
+
+// The scripted peers of the gateway's tests; built into the test program only.
+namespace currantspar::gateway::test {
+
+namespace {
+
+constexpr int receive_timeout_s = 5;
+
+int open_listener(sockaddr_in& local)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int reuse = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    local = {};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener, reinterpret_cast<sockaddr*>(&local), sizeof local);
+    socklen_t size = sizeof local;
+    ::getsockname(listener, reinterpret_cast<sockaddr*>(&local), &size);
+    return listener;
+}
+
+std::string to_text(const sockaddr_in& local)
+{
+    return "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+}
+
+void send_all(int connection, const std::string& bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const ssize_t part = ::send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (part <= 0) {
+            return;
+        }
+        sent += static_cast<std::size_t>(part);
+    }
+}
+
+} // namespace
+
+scripted_server::scripted_server(handler answer) : answer_(std::move(answer))
+{
+    sockaddr_in local{};
+    listener_ = open_listener(local);
+    ::listen(listener_, 64);
+    address_ = to_text(local);
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
+scripted_server::~scripted_server()
+{
+    stopping_ = true;
+    ::shutdown(listener_, SHUT_RDWR);
+    ::close(listener_);
+    acceptor_.join();
+    for (std::thread& each : threads_) {
+        each.join();
+    }
+}
+
+void scripted_server::accept_all()
+{
+    while (!stopping_) {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        if (connection < 0) {
+            return;
+        }
+        const timeval patience{0, 50000};
+        setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+        threads_.emplace_back([this, connection] { serve(connection); });
+    }
+}
+
+void scripted_server::serve(int connection)
+{
+    std::array<char, 65536> buffer{};
+    std::string in;
+    std::optional<request_reader> reader(reader_limits{});
+    bool holding = false;
+    while (!stopping_) {
+        const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            continue;
+        }
+        if (got <= 0) {
+            abandoned_ += holding ? 1 : 0;
+            break;
+        }
+        in.append(buffer.data(), static_cast<std::size_t>(got));
+        if (reader->read(in) != read_progress::complete) {
+            continue;
+        }
+        requests_ += 1;
+        const scripted_answer next = answer_(reader->take());
+        reader.emplace(reader_limits{});
+        send_all(connection, next.bytes);
+        holding = next.hold;
+        if (next.reset) {
+            const linger at_once{1, 0};
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        }
+        if (next.close || next.reset) {
+            break;
+        }
+    }
+    ::close(connection);
+}
+
+raw_caller::raw_caller(const std::string& address, const std::string& bytes)
+    : connection_(::socket(AF_INET, SOCK_STREAM, 0))
+{
+    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
+    if (::connect(connection_, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
+        send_all(connection_, bytes);
+    }
+}
+
+raw_caller::~raw_caller()
+{
+    hang_up();
+}
+
+void raw_caller::hang_up()
+{
+    if (connection_ >= 0) {
+        ::close(std::exchange(connection_, -1));
+    }
+}
+
+std::string exchange(const std::string& address, const std::string& bytes,
+                     const std::function<bool(const std::string&)>& enough)
+{
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    const timeval patience{receive_timeout_s, 0};
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
+    std::string received;
+    if (::connect(connection, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
+        send_all(connection, bytes);
+        std::array<char, 65536> buffer{};
+        while (!enough(received)) {
+            const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+    ::close(connection);
+    return received;
+}
+
+std::string free_address()
+{
+    sockaddr_in local{};
+    const int listener = open_listener(local);
+    ::close(listener);
+    return to_text(local);
+}
+
+} // namespace currantspar::gateway::test
--- a/src/currantspar/relay/engine_choice_test.cpp
+++ b/src/currantspar/relay/engine_choice_test.cpp
@@ -38,8 +38,7 @@
 class choosing_nodes
 {
 public:
-    choosing_nodes(const shared_prompt_load& load, double news_delay_s)
-        : fleet_(load), delay_(news_delay_s)
+    choosing_nodes(const shared_prompt_load& load, double news_delay_s) : fleet_(load), delay_(news_delay_s)
     {
         for (unsigned node = 0; node < load.nodes; ++node) {
             nodes_.push_back(make_choice());
@@ -48,9 +47,11 @@
 
     reading_result play()
     {
-        return fleet_.play(
-            [this](unsigned node, const request_facts& request, instant now) { return choose(node, request, now); },
-            [this](unsigned node, const request_facts&, double ready) { reads_.emplace_back(node, attempt_, ready); });
+        return fleet_.play([this](unsigned node, const request_facts& request,
+                                  instant now) { return choose(node, request, now); },
+                           [this](unsigned node, const request_facts&, double ready) {
+                               reads_.emplace_back(node, attempt_, ready);
+                           });
     }
 
 private:
@@ -97,7 +98,8 @@
         while (!news_.empty() && news_.front().heard_at <= now) {
             for (unsigned node = 0; node < nodes_.size(); ++node) {
                 if (node != news_.front().from) {
-                    nodes_[node].on_peer_work(std::to_string(news_.front().from), news_.front().work, true, at);
+                    nodes_[node].on_peer_work(std::to_string(news_.front().from), news_.front().work, true,
+                                              at);
                     nodes_[node].on_peer_parts(news_.front().parts, at);
                 }
             }
@@ -139,8 +141,8 @@
     test::reader_fleet fleet(load);
     return fleet.play(
         [&](unsigned, const request_facts&, instant) {
-            const auto best =
-                std::min_element(fleet.engines().begin(), fleet.engines().end(), [&](const auto& left, const auto& right) {
+            const auto best = std::min_element(
+                fleet.engines().begin(), fleet.engines().end(), [&](const auto& left, const auto& right) {
                     const bool reads_left = left.role == prefill;
                     const bool reads_right = right.role == prefill;
                     return std::make_pair(!reads_left, fleet.free_at(left.id)) <
@@ -196,7 +198,8 @@
     engine_choice choice = make_choice();
     const auto placed = choice.choose(make_prompt("r", 7, 13300, 3700), traits, engines, {}, at(1));
     BOOST_TEST(!placed->reader.empty());
-    const auto alone = choice.choose(make_prompt("s", 7, 13300, 3700), traits, {engines[2], engines[3]}, {}, at(1));
+    const auto alone =
+        choice.choose(make_prompt("s", 7, 13300, 3700), traits, {engines[2], engines[3]}, {}, at(1));
     BOOST_REQUIRE(alone.has_value());
     BOOST_TEST(alone->reader.empty());
     BOOST_TEST(!choice.choose(make_prompt("t", 7, 13300, 3700), traits, {engines[0]}, {}, at(1)).has_value());
@@ -209,9 +212,11 @@
     const auto home = choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(1));
     choice.on_peer_work("peer", {{engine_number(home->reader), {5000, 20, 0}}}, true, at(1));
     choice.on_tick(at(2));
-    BOOST_TEST((choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(2))->reader != home->reader));
+    BOOST_TEST(
+        (choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(2))->reader != home->reader));
     choice.on_tick(at(9));
-    BOOST_TEST((choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(9))->reader == home->reader));
+    BOOST_TEST(
+        (choice.choose(make_prompt("r", 7, 300, 100), traits, engines, {}, at(9))->reader == home->reader));
 }
 
 BOOST_AUTO_TEST_CASE(a_partial_digest_changes_only_the_engines_that_it_names)
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -101,7 +101,8 @@
     const auto* start = first<start_attempt>(before);
     BOOST_REQUIRE(start != nullptr);
     node.core.on_written(start->attempt);
-    const relay_effects effects = node.core.on_failure(start->attempt, attempt_failure::not_run, "503", at(1.1));
+    const relay_effects effects =
+        node.core.on_failure(start->attempt, attempt_failure::not_run, "503", at(1.1));
     const auto* again = first<start_attempt>(effects);
     BOOST_REQUIRE(again != nullptr);
     BOOST_TEST((again->server != start->server));
@@ -182,8 +183,8 @@
     leaving.draining = true;
     node.core.directory().put(leaving, at(0.5));
     for (int index = 0; index < 20; ++index) {
-        const relay_effects effects =
-            node.core.on_request(request_number(100U + static_cast<unsigned>(index)), make_call("r", "/read/1"), at(1));
+        const relay_effects effects = node.core.on_request(
+            request_number(100U + static_cast<unsigned>(index)), make_call("r", "/read/1"), at(1));
         BOOST_TEST((first<start_attempt>(effects)->server == backend_id("desk-2")));
     }
 }
@@ -214,7 +215,8 @@
     const auto* refused = first<start_attempt>(run);
     const backend_id decoder = refused->server;
     node.core.on_written(refused->attempt);
-    const relay_effects again = node.core.on_failure(refused->attempt, attempt_failure::not_run, "503", at(1.31));
+    const relay_effects again =
+        node.core.on_failure(refused->attempt, attempt_failure::not_run, "503", at(1.31));
     const auto* other = first<start_attempt>(again);
     BOOST_REQUIRE(other != nullptr);
     BOOST_TEST((other->stage == attempt_stage::take_over));
--- a/src/currantspar/relay/role_plan_test.cpp
+++ b/src/currantspar/relay/role_plan_test.cpp
@@ -26,8 +26,8 @@
 
 unsigned count_to(const std::vector<role_change>& changes, config::engine_role role)
 {
-    return static_cast<unsigned>(std::count_if(changes.begin(), changes.end(),
-                                               [&](const role_change& change) { return change.role == role; }));
+    return static_cast<unsigned>(std::count_if(
+        changes.begin(), changes.end(), [&](const role_change& change) { return change.role == role; }));
 }
 
 } // namespace
--- a/src/currantspar/relay/test_readers.hpp
+++ b/src/currantspar/relay/test_readers.hpp
@@ -31,14 +31,15 @@
 /// What became of the load.
 struct reading_result
 {
-    double in_time = 0;     ///< share of the prompts read within the target
-    double read_again = 0;  ///< shared tokens read though some engine had them, by shared tokens asked for
+    double in_time = 0;    ///< share of the prompts read within the target
+    double read_again = 0; ///< shared tokens read though some engine had them, by shared tokens asked for
 };
 
 /// Chooses the engine that reads a request placed at `node`.
 using chooser = std::function<backend_id(unsigned node, const request_facts&, instant)>;
 
-/// Plays a load against engines that read one prompt after the other and keep every shared part that they read.
+/// Plays a load against engines that read one prompt after the other and keep every shared part that they
+/// read.
 class reader_fleet
 {
 public:
@@ -46,32 +47,38 @@
     {
         for (unsigned index = 0; index < load.readers + load.decoders; ++index) {
             const bool reads = index < load.readers;
-            engines_.push_back(make_server((reads ? "reader-" : "decoder-") + std::to_string(index), "llm",
-                                           reads ? config::engine_role::prefill : config::engine_role::decode));
+            engines_.push_back(
+                make_server((reads ? "reader-" : "decoder-") + std::to_string(index), "llm",
+                            reads ? config::engine_role::prefill : config::engine_role::decode));
         }
     }
 
     [[nodiscard]] const std::vector<server_entry>& engines() const { return engines_; }
     [[nodiscard]] double free_at(const backend_id& engine) { return free_at_[engine]; }
-    [[nodiscard]] bool cached(const backend_id& engine, std::uint64_t part) { return cached_[engine].contains(part); }
+    [[nodiscard]] bool cached(const backend_id& engine, std::uint64_t part)
+    {
+        return cached_[engine].contains(part);
+    }
 
     /// `done` is told each request's engine and when its prompt was read.
-    reading_result play(const chooser& choose, const std::function<void(unsigned, const request_facts&, double)>& done)
+    reading_result play(const chooser& choose,
+                        const std::function<void(unsigned, const request_facts&, double)>& done)
     {
         random_generator random(11);
         unsigned counted = 0;
         unsigned in_time = 0;
         double again = 0;
         double asked = 0;
-        for (double now = 0; now < load_.seconds; now += -std::log(1 - random.unit()) / load_.requests_per_second) {
+        for (double now = 0; now < load_.seconds;
+             now += -std::log(1 - random.unit()) / load_.requests_per_second) {
             const std::uint64_t part = 1 + random.below(load_.parts);
             const auto node = static_cast<unsigned>(random.below(load_.nodes));
             const request_facts request = make_prompt("r", part, load_.shared_tokens, load_.own_tokens);
             const backend_id engine = choose(node, request, at(1 + now));
             const bool known = cached_[engine].contains(part);
-            const bool known_somewhere = !known && std::any_of(cached_.begin(), cached_.end(), [&](const auto& each) {
-                return each.second.contains(part);
-            });
+            const bool known_somewhere =
+                !known && std::any_of(cached_.begin(), cached_.end(),
+                                      [&](const auto& each) { return each.second.contains(part); });
             const double read_s = read_seconds(known ? load_.shared_tokens : 0);
             const double ready = std::max(now, free_at_[engine]) + read_s;
             free_at_[engine] = ready;
