--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -56,8 +56,10 @@
     ~server_pool();
 
     /// Sends a request to `IP:port`. `sink` must live until it was told the end or the exchange was
-    /// cancelled; it isn't called from within start().
-    exchange_id start(const std::string& address, std::string request, exchange_sink& sink, instant now);
+    /// cancelled; from within start() only
+    /// request_written may be called.
+    exchange_id start(const std::string& address, const std::string& request, exchange_sink& sink,
+                      instant now);
     /// Closes the connection of an exchange; its sink isn't called again.
     void cancel(exchange_id exchange);
     /// Ends overdue connects and idle connections, and frees what was closed.
--- a/include/currantspar/relay/model.hpp
+++ b/include/currantspar/relay/model.hpp
@@ -127,7 +127,7 @@
     int status = 0;
     std::string request_id; ///< echoed by the server; empty: none
     bool not_run = false;   ///< the server says that it didn't run the request
-    bool signed_ = false;   ///< carries the server's signature
+    bool has_proof = false; ///< carries the server's signature
     bool encoded = false;   ///< the body is not the server's plain body
 };
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -94,8 +94,8 @@
     /// A success that is provably the server's answer to this request.
     [[nodiscard]] bool genuine_success() const
     {
-        return facts.status >= status_ok && facts.status < first_failure && facts.signed_ && !facts.encoded &&
-               facts.request_id == request_id;
+        return facts.status >= status_ok && facts.status < first_failure && facts.has_proof &&
+               !facts.encoded && facts.request_id == request_id;
     }
 
 private:
@@ -194,14 +194,14 @@
 
 result<void> gateway_node::start()
 {
-    if (const auto opened = ready_listener_.open(settings_.ready_address); !opened) {
+    if (auto opened = ready_listener_.open(settings_.ready_address); !opened) {
         return opened;
     }
-    if (const auto opened = front_listener_.open(settings_.front_address); !opened) {
+    if (auto opened = front_listener_.open(settings_.front_address); !opened) {
         return opened;
     }
     if (!settings_.peer_address.empty()) {
-        if (const auto opened = peers_.open(settings_.peer_address); !opened) {
+        if (auto opened = peers_.open(settings_.peer_address); !opened) {
             return opened;
         }
     }
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -44,7 +44,7 @@
         relay::answer_facts facts;
         facts.status = status;
         facts.request_id = field(fields, "Id");
-        facts.signed_ = find_field(fields, "Proof") != nullptr;
+        facts.has_proof = find_field(fields, "Proof") != nullptr;
         facts.not_run = find_field(fields, "Not-Run") != nullptr;
         return facts;
     }
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -36,9 +36,9 @@
     {}
     ~call() override { pool_.cancel(exchange_); }
 
-    void start(const std::string& address, std::string request, instant now)
+    void start(const std::string& address, const std::string& request, instant now)
     {
-        exchange_ = pool_.start(address, std::move(request), *this, now);
+        exchange_ = pool_.start(address, request, *this, now);
     }
     bool answer_head(int status, const http_fields& fields) override
     {
@@ -83,12 +83,12 @@
 
 role_controller::~role_controller() = default;
 
-void role_controller::start(server_pool& pool, const std::string& address, std::string request,
+void role_controller::start(server_pool& pool, const std::string& address, const std::string& request,
                             duration timeout, std::function<void(const http_answer*)> done)
 {
     const instant now = io::monotonic_now();
     calls_.push_back(std::make_unique<call>(pool, now + timeout, std::move(done)));
-    calls_.back()->start(address, std::move(request), now);
+    calls_.back()->start(address, request, now);
 }
 
 void role_controller::on_tick(std::size_t place, instant now)
--- a/src/currantspar/gateway/role_controller.hpp
+++ b/src/currantspar/gateway/role_controller.hpp
@@ -57,7 +57,7 @@
     void send_order(const relay::role_change& wanted, const relay::server_entry& engine,
                     std::uint64_t orders);
     void on_ordered(const backend_id& engine, std::uint64_t token, const http_answer& answer);
-    void start(server_pool& pool, const std::string& address, std::string request, duration timeout,
+    void start(server_pool& pool, const std::string& address, const std::string& request, duration timeout,
                std::function<void(const http_answer*)> done);
 
     server_pool& servers_;
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -46,7 +46,7 @@
         return connect(to);
     }
 
-    void begin(exchange_id exchange, std::string request, exchange_sink& sink)
+    void begin(exchange_id exchange, const std::string& request, exchange_sink& sink)
     {
         exchange_ = exchange;
         sink_ = &sink;
@@ -200,7 +200,7 @@
 
 server_pool::~server_pool() = default;
 
-exchange_id server_pool::start(const std::string& address, std::string request, exchange_sink& sink,
+exchange_id server_pool::start(const std::string& address, const std::string& request, exchange_sink& sink,
                                instant now)
 {
     now_ = now;
@@ -211,7 +211,7 @@
         idle.pop_back();
         if (kept->usable(now)) {
             busy_.emplace(exchange, kept);
-            kept->begin(exchange, std::move(request), sink);
+            kept->begin(exchange, request, sink);
             return exchange;
         }
         kept->close();
@@ -224,7 +224,7 @@
     connects_ += 1;
     const auto parsed = io::parse_address(address);
     const bool opened = parsed && added.open(*parsed, now);
-    added.begin(exchange, std::move(request), sink);
+    added.begin(exchange, request, sink);
     if (!opened) {
         // The tick reports the failure: a sink isn't called from within start().
         added.close();
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -58,7 +58,7 @@
 {
     answer_facts facts;
     facts.status = status;
-    facts.signed_ = true;
+    facts.has_proof = true;
     return facts;
 }
 
