--- a/include/currantspar/relay/engine_choice.hpp
+++ b/include/currantspar/relay/engine_choice.hpp
@@ -31,9 +31,9 @@
     duration peer_load_age = std::chrono::milliseconds(2500); ///< older loads of peers are forgotten
     duration part_news_age = std::chrono::seconds(3); ///< a part that was used again later is told again
     double reread_ms_per_thousand =
-        30;              ///< cost above its time of reading a thousand tokens that another engine has cached
-    double home_ms = 25; ///< gain of a part's home, so that nodes agree on it while it is cold
-    double far_ms = 4;   ///< cost of an engine in another data centre
+        30;               ///< cost above its time of reading a thousand tokens that another engine has cached
+    double home_ms = 100; ///< gain of a part's home, so that nodes agree on it while it is cold
+    double far_ms = 4;    ///< cost of an engine in another data centre
     double decode_interference = 4.0; ///< cost for the streams of a decode engine that reads, of its time
 };
 
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,6 +36,13 @@
     duration read_grace = std::chrono::milliseconds(1500); ///< a prompt that takes longer is read elsewhere
 };
 
+/// When a stream's first event came after its request, and when it was expected.
+struct first_event_times
+{
+    duration measured{};
+    duration predicted{};
+};
+
 /// How an attempt came to its end without a whole answer.
 enum class attempt_failure
 {
@@ -81,6 +89,9 @@
     [[nodiscard]] relay_effects on_stream_head(attempt_id attempt, instant now);
     /// Whole events of a stream arrived; `last_event` is the id of the last one.
     [[nodiscard]] relay_effects on_events(attempt_id attempt, const std::string& last_event, instant now);
+    /// The times of a stream's first event, if the events that come now are its first; call it before
+    /// on_events.
+    [[nodiscard]] std::optional<first_event_times> first_event(attempt_id attempt, instant now);
     /// A stream came to its proper end.
     [[nodiscard]] relay_effects on_stream_end(attempt_id attempt, instant now);
     /// An answer that isn't a stream is whole.
--- /dev/null
+++ b/src/currantspar/gateway/gateway_metrics.cpp
@@ -0,0 +1,91 @@
+#include "gateway_metrics.hpp"
+
+#include <cmath>
+
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace currantspar::gateway {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries latency_seconds = {0.01, 0.025, 0.05, 0.1, 0.15, 0.3,
+                                                                 0.5,  0.6,   1,    2,   4,    6};
+
+} // namespace
+
+struct gateway_metrics::families
+{
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram>& latency = prometheus::BuildHistogram()
+                                                             .Name("gateway_request_seconds")
+                                                             .Help("From a request's arrival to its end")
+                                                             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& first_event =
+        prometheus::BuildHistogram()
+            .Name("gateway_first_event_seconds")
+            .Help("From a request's arrival to its first event")
+            .Register(registry);
+    prometheus::Family<prometheus::Histogram>& prediction =
+        prometheus::BuildHistogram()
+            .Name("gateway_first_event_error_seconds")
+            .Help("Difference of the measured and the predicted time to the first event")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& requests =
+        prometheus::BuildGauge()
+            .Name("gateway_requests")
+            .Help("Requests since the start by service and outcome, and those in flight")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& state = prometheus::BuildGauge()
+                                                       .Name("gateway_state")
+                                                       .Help("Figures of the node, by name")
+                                                       .Register(registry);
+    prometheus::Histogram& ended = latency.Add({}, latency_seconds);
+    prometheus::Histogram& first = first_event.Add({}, latency_seconds);
+    prometheus::Histogram& error = prediction.Add({}, latency_seconds);
+};
+
+gateway_metrics::gateway_metrics() : families_(std::make_unique<families>()) {}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::on_ended(duration after)
+{
+    families_->ended.Observe(to_seconds(after));
+}
+
+void gateway_metrics::on_first_event(duration measured, duration predicted)
+{
+    families_->first.Observe(to_seconds(measured));
+    families_->error.Observe(std::abs(to_seconds(measured - predicted)));
+}
+
+std::string gateway_metrics::text(const relay::relay_core& core, const gateway_counts& counts)
+{
+    for (const auto& [service, account] : core.accounts()) {
+        const auto set = [&, name = service.str()](const char* outcome, std::uint64_t value) {
+            families_->requests.Add({{"service", name}, {"outcome", outcome}})
+                .Set(static_cast<double>(value));
+        };
+        set("accepted", account.accepted);
+        set("answered", account.answered);
+        set("not_run", account.not_run);
+        set("unknown", account.unknown);
+        set("caller_gone", account.caller_gone);
+        set("in_flight", account.in_flight);
+    }
+    const auto set = [&](const char* name, double value) {
+        families_->state.Add({{"name", name}}).Set(value);
+    };
+    set("server_connects", static_cast<double>(counts.server_connects));
+    set("caller_connections", static_cast<double>(counts.caller_connections));
+    set("live_nodes", static_cast<double>(counts.live_nodes));
+    set("configuration_version", static_cast<double>(counts.configuration));
+    set("known_servers", static_cast<double>(core.directory().size()));
+    set("ready", counts.ready ? 1 : 0);
+    return prometheus::TextSerializer().Serialize(families_->registry.Collect());
+}
+
+} // namespace currantspar::gateway
--- /dev/null
+++ b/src/currantspar/gateway/gateway_metrics.hpp
@@ -0,0 +1,43 @@
+#ifndef CURRANTSPAR_GATEWAY_GATEWAY_METRICS_HPP
+#define CURRANTSPAR_GATEWAY_GATEWAY_METRICS_HPP
+
+#include <memory>
+#include <string>
+
+#include "currantspar/base/time.hpp"
+#include "currantspar/relay/relay_core.hpp"
+
+namespace currantspar::gateway {
+
+/// What is counted besides the relay's accounts.
+struct gateway_counts
+{
+    std::uint64_t server_connects = 0;
+    std::uint64_t caller_connections = 0;
+    std::uint64_t live_nodes = 0;
+    std::uint64_t configuration = 0; ///< version in force
+    bool ready = false;
+};
+
+/// Counters and latency histograms of one node. Not thread safe.
+class gateway_metrics
+{
+public:
+    gateway_metrics();
+    ~gateway_metrics();
+
+    /// A caller's request ended after this long.
+    void on_ended(duration after);
+    /// The first event of a stream came after `measured`; `predicted` was expected.
+    void on_first_event(duration measured, duration predicted);
+    /// All figures in Prometheus' text format.
+    [[nodiscard]] std::string text(const relay::relay_core& core, const gateway_counts& counts);
+
+private:
+    struct families;
+    std::unique_ptr<families> families_;
+};
+
+} // namespace currantspar::gateway
+
+#endif
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -25,6 +25,8 @@
 constexpr duration node_list_period = std::chrono::seconds(15);
 /// By then nodes that started together have written their records.
 constexpr duration node_list_delay = std::chrono::milliseconds(1200);
+/// For calls of the node's own whose answers nobody waits for.
+constexpr duration call_timeout = std::chrono::milliseconds(1500);
 constexpr duration announce_retry = std::chrono::seconds(2);
 /// Reads of the configuration are held between these times, drawn for each node so that they don't end
 /// together.
@@ -115,91 +117,31 @@
     event_splitter events;
 };
 
-/// Answers the load balancer.
-class gateway_node::ready_sink : public caller_sink
-{
-public:
-    explicit ready_sink(gateway_node& node) : node_(node) {}
-
-    void accept(ACE_SOCK_Stream& accepted)
-    {
-        auto fresh =
-            std::make_unique<caller_connection>(node_.reactor_, *this, reader_limits{}, io::monotonic_now());
-        if (fresh->accept(accepted)) {
-            caller_connection* key = fresh.get();
-            connections_.emplace(key, std::move(fresh));
-        }
-    }
-
-    void request_arrived(caller_connection& from, http_request request) override
-    {
-        const bool ready = node_.wire_.is_ready_question(request) && node_.core_.ready() && !node_.stopping_;
-        from.answer(ready ? status_ok : status_unavailable, {}, "", node_.stopping_);
-    }
-    void request_malformed(int) override {}
-    void connection_closed(caller_connection& closed) override
-    {
-        const auto found = connections_.find(&closed);
-        if (found != connections_.end()) {
-            closed_.push_back(std::move(found->second));
-            connections_.erase(found);
-        }
-    }
-    void free_closed() { closed_.clear(); }
-
-private:
-    gateway_node& node_;
-    std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
-    std::vector<std::unique_ptr<caller_connection>> closed_;
-};
-
 gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
     : reactor_(reactor), wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)),
-      servers_(reactor, {}), store_(reactor, {}), ready_(std::make_unique<ready_sink>(*this)),
+      servers_(reactor, {}), store_(reactor, {}),
+      ready_(reactor, [this](const http_request& request) { return answer_ready(request); }),
+      metrics_server_(reactor, [this](const http_request&) { return answer_metrics(); }),
       front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
-      ready_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { ready_->accept(accepted); }),
       peers_(reactor, {}, [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
       roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address)
 {}
 
-/// Waits for the store's answer to this node's record, and writes it again when it failed.
-class gateway_node::announcement : public exchange_sink
-{
-public:
-    explicit announcement(gateway_node& node) : node_(node) {}
-
-    bool answer_head(int status, const http_fields&) override
-    {
-        status_ = status;
-        return true;
-    }
-    void answer_body(std::string_view) override {}
-    void answer_complete() override { settle(status_ == status_ok, "status " + std::to_string(status_)); }
-    void request_failed(bool, const std::string& detail) override { settle(false, detail); }
-
-private:
-    void settle(bool written, const std::string& detail)
-    {
-        node_.announced_ = written;
-        node_.announce_due_ = io::monotonic_now() + announce_retry;
-        io::log_event(io::log_level::info, "node_announced",
-                      {{"written", written ? "true" : "false"}, {"detail", detail}});
-    }
-
-    gateway_node& node_;
-    int status_ = 0;
-};
-
 gateway_node::~gateway_node() = default;
 
 result<void> gateway_node::start()
 {
-    if (auto opened = ready_listener_.open(settings_.ready_address); !opened) {
+    if (auto opened = ready_.open(settings_.ready_address); !opened) {
         return opened;
     }
     if (auto opened = front_listener_.open(settings_.front_address); !opened) {
         return opened;
     }
+    if (!settings_.metrics_address.empty()) {
+        if (auto opened = metrics_server_.open(settings_.metrics_address); !opened) {
+            return opened;
+        }
+    }
     if (!settings_.peer_address.empty()) {
         if (auto opened = peers_.open(settings_.peer_address); !opened) {
             return opened;
@@ -214,6 +156,19 @@
     return {};
 }
 
+http_answer gateway_node::answer_ready(const http_request& request) const
+{
+    const bool ready = wire_.is_ready_question(request) && core_.ready() && !stopping_;
+    return {ready ? status_ok : status_unavailable, {}, {}};
+}
+
+http_answer gateway_node::answer_metrics()
+{
+    const gateway_counts counts{servers_.connects(), connections_.size(), peers_.live_nodes(),
+                                configuration_version(), core_.ready() && !stopping_};
+    return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
+}
+
 // Callers.
 
 void gateway_node::accept_caller(ACE_SOCK_Stream& accepted)
@@ -239,7 +194,7 @@
     }
     const relay::request_number number(++last_request_);
     from.number = number;
-    callers_.emplace(number, caller{&from, std::move(request)});
+    callers_.emplace(number, caller{&from, std::move(request), now});
     run(core_.on_request(number, std::move(*facts), now), now);
     tell_peers(now);
 }
@@ -268,6 +223,18 @@
     return found == callers_.end() ? nullptr : &found->second;
 }
 
+caller_connection* gateway_node::finish_caller(relay::request_number number, instant now)
+{
+    const auto found = callers_.find(number);
+    if (found == callers_.end()) {
+        return nullptr;
+    }
+    caller_connection* connection = found->second.connection;
+    metrics_.on_ended(now - found->second.arrived);
+    callers_.erase(found);
+    return connection;
+}
+
 // Effects.
 
 void gateway_node::run(const relay::relay_effects& effects, instant now)
@@ -307,50 +274,51 @@
     }
 }
 
-void gateway_node::apply(const relay::end_answer& effect, instant)
+void gateway_node::apply(const relay::end_answer& effect, instant now)
 {
-    const auto found = callers_.find(effect.request);
-    if (found != callers_.end()) {
-        caller_connection* connection = found->second.connection;
-        callers_.erase(found);
+    if (caller_connection* connection = finish_caller(effect.request, now)) {
         connection->end_answer();
     }
 }
 
-void gateway_node::apply(const relay::break_answer& effect, instant)
+void gateway_node::apply(const relay::break_answer& effect, instant now)
 {
-    const auto found = callers_.find(effect.request);
-    if (found != callers_.end()) {
-        caller_connection* connection = found->second.connection;
-        callers_.erase(found);
+    if (caller_connection* connection = finish_caller(effect.request, now)) {
         connection->abort();
     }
 }
 
-void gateway_node::apply(const relay::deliver_answer& effect, instant)
+void gateway_node::apply(const relay::deliver_answer& effect, instant now)
 {
-    const auto to = callers_.find(effect.request);
     const auto from = attempts_.find(effect.attempt);
-    if (to == callers_.end() || from == attempts_.end()) {
+    if (from == attempts_.end()) {
         return;
     }
-    caller_connection* connection = to->second.connection;
-    callers_.erase(to);
-    connection->answer(from->second->facts.status, from->second->fields, from->second->body, stopping_);
+    if (caller_connection* connection = finish_caller(effect.request, now)) {
+        const attempt& answered = *from->second;
+        connection->answer(answered.facts.status, answered.fields, answered.body, stopping_);
+    }
 }
 
-void gateway_node::apply(const relay::reply& effect, instant)
+void gateway_node::apply(const relay::reply& effect, instant now)
 {
-    const auto to = callers_.find(effect.request);
-    if (to == callers_.end()) {
-        return;
+    if (caller_connection* connection = finish_caller(effect.request, now)) {
+        connection->answer(effect.status, wire_.encode_reply(effect), "", stopping_);
     }
-    caller_connection* connection = to->second.connection;
-    callers_.erase(to);
-    connection->answer(effect.status, wire_.encode_reply(effect), "", stopping_);
 }
 
-void gateway_node::apply(const relay::free_prompt&, instant) {}
+void gateway_node::apply(const relay::free_prompt& effect, instant now)
+{
+    // A prompt that isn't freed lapses by itself, so the answer only goes to the log.
+    calls_.start(
+        servers_, effect.address, wire_.encode_free_prompt(effect), call_timeout,
+        [address = effect.address](const http_answer* answer) {
+            io::log_event(io::log_level::info, "prompt_freed",
+                          {{"address", address},
+                           {"status", answer == nullptr ? "none" : std::to_string(answer->status)}});
+        },
+        now);
+}
 
 void gateway_node::apply(const relay::log_decision& effect, instant)
 {
@@ -385,6 +353,9 @@
         to->connection->continue_answer(whole);
     }
     const instant now = io::monotonic_now();
+    if (const auto first = core_.first_event(from.number, now)) {
+        metrics_.on_first_event(first->measured, first->predicted);
+    }
     run(core_.on_events(from.number, from.events.last_id(), now), now);
 }
 
@@ -541,11 +512,16 @@
         return;
     }
     announce_due_ = now + announce_retry;
-    store_.cancel(announce_exchange_);
-    announcement_ = std::make_unique<announcement>(*this);
-    announce_exchange_ = store_.start(
-        settings_.store_address,
-        wire_.encode_put(shared_topic::nodes, settings_.peer_address, settings_.node), *announcement_, now);
+    calls_.start(
+        store_, settings_.store_address,
+        wire_.encode_put(shared_topic::nodes, settings_.peer_address, settings_.node), call_timeout,
+        [this](const http_answer* answer) {
+            announced_ = answer != nullptr && answer->status == status_ok;
+            io::log_event(io::log_level::info, "node_announced",
+                          {{"written", announced_ ? "true" : "false"},
+                           {"status", answer == nullptr ? "none" : std::to_string(answer->status)}});
+        },
+        now);
 }
 
 void gateway_node::on_configuration(const std::vector<keyed_record>& records, instant)
@@ -619,6 +595,7 @@
         watch->on_tick(now);
     }
     announce(now);
+    calls_.on_tick(now);
     servers_.on_tick(now);
     store_.on_tick(now);
     tell_peers(now);
@@ -648,7 +625,8 @@
     }
     closed_.clear();
     retired_.clear();
-    ready_->free_closed();
+    ready_.on_tick();
+    metrics_server_.on_tick();
 }
 
 void gateway_node::stop(instant now)
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -14,8 +14,11 @@
 #include "currantspar/gateway/store_watch.hpp"
 #include "currantspar/gateway/wire_protocol.hpp"
 #include "currantspar/relay/relay_core.hpp"
+#include "gateway_metrics.hpp"
 #include "listener.hpp"
+#include "question_server.hpp"
 #include "role_controller.hpp"
+#include "whole_call.hpp"
 
 namespace currantspar::gateway {
 
@@ -36,13 +39,12 @@
     [[nodiscard]] bool done(instant now) const;
 
 private:
-    class announcement;
     class attempt;
-    class ready_sink;
     struct caller
     {
         caller_connection* connection = nullptr;
         http_request request;
+        instant arrived{};
     };
 
     // Callers.
@@ -83,7 +85,11 @@
     /// Writes this node's record, by which the others find it.
     void announce(instant now);
 
+    [[nodiscard]] http_answer answer_ready(const http_request& request) const;
+    [[nodiscard]] http_answer answer_metrics();
     [[nodiscard]] caller* find_caller(relay::request_number number);
+    /// Takes a request off the list of open ones; null when its caller has left.
+    caller_connection* finish_caller(relay::request_number number, instant now);
 
     ACE_Reactor& reactor_;
     const wire_protocol& wire_;
@@ -91,15 +97,15 @@
     relay::relay_core core_;
     server_pool servers_;
     server_pool store_;
-    std::unique_ptr<ready_sink> ready_;
+    question_server ready_;
+    question_server metrics_server_;
     listener front_listener_;
-    listener ready_listener_;
     std::vector<std::unique_ptr<store_watch>> watches_;
     store_watch* configuration_watch_ = nullptr; ///< one of watches_
     peer_link peers_;
     role_controller roles_;
-    std::unique_ptr<exchange_sink> announcement_;
-    exchange_id announce_exchange_ = 0;
+    whole_calls calls_;
+    gateway_metrics metrics_;
     bool announced_ = false;
     instant announce_due_{};
     instant hasten_due_{};
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -27,53 +27,6 @@
 
 } // namespace
 
-/// One call whose whole answer, or null when none comes, goes to a function.
-class role_controller::call : public exchange_sink
-{
-public:
-    call(server_pool& pool, instant give_up_at, std::function<void(const http_answer*)> done)
-        : give_up_at_(give_up_at), pool_(pool), done_(std::move(done))
-    {}
-    ~call() override { pool_.cancel(exchange_); }
-
-    void start(const std::string& address, const std::string& request, instant now)
-    {
-        exchange_ = pool_.start(address, request, *this, now);
-    }
-    bool answer_head(int status, const http_fields& fields) override
-    {
-        answer_.status = status;
-        answer_.fields = fields;
-        return true;
-    }
-    void answer_body(std::string_view bytes) override { answer_.body.append(bytes); }
-    void answer_complete() override { settle(&answer_); }
-    void request_failed(bool, const std::string&) override { settle(nullptr); }
-    void give_up()
-    {
-        pool_.cancel(exchange_);
-        settle(nullptr);
-    }
-
-    [[nodiscard]] bool settled() const { return settled_; }
-    [[nodiscard]] instant give_up_at() const { return give_up_at_; }
-
-private:
-    void settle(const http_answer* answer)
-    {
-        if (!std::exchange(settled_, true)) {
-            done_(answer);
-        }
-    }
-
-    instant give_up_at_;
-    server_pool& pool_;
-    std::function<void(const http_answer*)> done_;
-    http_answer answer_;
-    exchange_id exchange_ = 0;
-    bool settled_ = false;
-};
-
 role_controller::role_controller(server_pool& servers, server_pool& store, const wire_protocol& wire,
                                  relay::relay_core& core, std::string node, std::string store_address,
                                  role_controller_options options)
@@ -81,14 +34,10 @@
       store_address_(std::move(store_address)), options_(options)
 {}
 
-role_controller::~role_controller() = default;
-
 void role_controller::start(server_pool& pool, const std::string& address, const std::string& request,
-                            duration timeout, std::function<void(const http_answer*)> done)
+                            duration timeout, whole_calls::answer_handler done)
 {
-    const instant now = io::monotonic_now();
-    calls_.push_back(std::make_unique<call>(pool, now + timeout, std::move(done)));
-    calls_.back()->start(address, request, now);
+    calls_.start(pool, address, request, timeout, std::move(done), io::monotonic_now());
 }
 
 void role_controller::on_tick(std::size_t place, instant now)
@@ -96,12 +45,7 @@
     if (begun_ == instant()) {
         begun_ = now;
     }
-    for (std::size_t index = 0; index < calls_.size(); ++index) {
-        if (!calls_[index]->settled() && now >= calls_[index]->give_up_at()) {
-            calls_[index]->give_up();
-        }
-    }
-    std::erase_if(calls_, [](const auto& each) { return each->settled(); });
+    calls_.on_tick(now);
     if (now < check_due_ || now - begun_ < options_.settle_time) {
         return;
     }
--- a/src/currantspar/gateway/role_controller.hpp
+++ b/src/currantspar/gateway/role_controller.hpp
@@ -2,7 +2,6 @@
 #define CURRANTSPAR_GATEWAY_ROLE_CONTROLLER_HPP
 
 #include <map>
-#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +11,7 @@
 #include "currantspar/relay/lease.hpp"
 #include "currantspar/relay/relay_core.hpp"
 #include "currantspar/relay/role_plan.hpp"
+#include "whole_call.hpp"
 
 namespace currantspar::gateway {
 
@@ -34,7 +34,6 @@
     role_controller(server_pool& servers, server_pool& store, const wire_protocol& wire,
                     relay::relay_core& core, std::string node, std::string store_address,
                     role_controller_options options = {});
-    ~role_controller();
 
     /// `place`: how many live nodes come before this one in claiming.
     void on_tick(std::size_t place, instant now);
@@ -42,7 +41,6 @@
     void on_role(const backend_id& engine, config::engine_role role);
 
 private:
-    class call;
     struct change
     {
         config::engine_role role = config::engine_role::prefill;
@@ -58,7 +56,7 @@
                     std::uint64_t orders);
     void on_ordered(const backend_id& engine, std::uint64_t token, const http_answer& answer);
     void start(server_pool& pool, const std::string& address, const std::string& request, duration timeout,
-               std::function<void(const http_answer*)> done);
+               whole_calls::answer_handler done);
 
     server_pool& servers_;
     server_pool& store_;
@@ -69,7 +67,7 @@
     role_controller_options options_;
     relay::lease lease_;
     std::map<backend_id, change> changing_;
-    std::vector<std::unique_ptr<call>> calls_;
+    whole_calls calls_;
     instant begun_{};
     instant wanted_since_{};
     instant check_due_{};
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -374,6 +374,16 @@
     return out;
 }
 
+std::optional<first_event_times> relay_core::first_event(attempt_id attempt, instant now)
+{
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end() || it->second.has_events) {
+        return std::nullopt;
+    }
+    return first_event_times{now - it->second.arrived,
+                             from_seconds(it->second.where.first_event_ms / 1000.0)};
+}
+
 relay_effects relay_core::on_stream_end(attempt_id attempt, instant now)
 {
     relay_effects out;
