Test that a node reads the configuration at once when a peer is ahead and when the store is lost or back

The tests' nodes waited for a number of turns instead of readiness, which failed beside load (a caller was told 503 before the configuration was read); they wait for ready() now, as strict as before.

--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -158,14 +158,14 @@
 
 http_answer gateway_node::answer_ready(const http_request& request) const
 {
-    const bool ready = wire_.is_ready_question(request) && core_.ready() && !stopping_;
-    return {ready ? status_ok : status_unavailable, {}, {}};
+    const bool answer_yes = wire_.is_ready_question(request) && ready();
+    return {answer_yes ? status_ok : status_unavailable, {}, {}};
 }
 
 http_answer gateway_node::answer_metrics()
 {
     const gateway_counts counts{servers_.connects(), connections_.size(), peers_.live_nodes(),
-                                configuration_version(), core_.ready() && !stopping_};
+                                configuration_version(), ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
@@ -648,6 +648,11 @@
     io::log_event(io::log_level::info, "settings_reloaded", {{"store", settings_.store_address}});
 }
 
+bool gateway_node::ready() const
+{
+    return core_.ready() && !stopping_;
+}
+
 bool gateway_node::done(instant now) const
 {
     if (!stopping_) {
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -37,6 +37,8 @@
     void reload(const gateway_settings& fresh);
     void on_tick(instant now);
     [[nodiscard]] bool done(instant now) const;
+    /// True while requests can be served and the node isn't stopping.
+    [[nodiscard]] bool ready() const;
 
 private:
     class attempt;
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -73,8 +73,11 @@
         return write_request(
             {"GET", "/read/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
     }
-    result<record_batch> decode_read(const http_answer&, std::uint64_t from) const override
+    result<record_batch> decode_read(const http_answer& answer, std::uint64_t from) const override
     {
+        if (answer.status != 200) {
+            return fail(error_kind::unavailable, "status " + std::to_string(answer.status));
+        }
         return record_batch{{}, from, false};
     }
     std::string encode_put(shared_topic, const std::string&, const std::string&) const override { return {}; }
@@ -130,8 +133,9 @@
 /// A node between a scripted store, scripted servers and raw callers, driven by the test's thread.
 struct running_node
 {
-    explicit running_node(std::vector<scripted_server::handler> handlers)
-        : store([](const http_request& request) { return answer_store(request); })
+    explicit running_node(std::vector<scripted_server::handler> handlers,
+                          scripted_server::handler store_handler = answer_store)
+        : store(std::move(store_handler))
     {
         auto config = std::make_shared<relay::relay_config>();
         config->version = 1;
@@ -151,10 +155,11 @@
         wire.settings.front_address = test::free_address();
         wire.settings.ready_address = test::free_address();
         wire.settings.store_address = store.address();
+        wire.settings.peer_address = test::free_address();
         wire.settings.retry_reserve = 1000;
         node = std::make_unique<gateway_node>(reactor, wire, wire.settings);
         BOOST_REQUIRE(node->start().has_value());
-        turn([this] { return ready(); });
+        BOOST_REQUIRE(turn([this] { return node->ready(); }));
     }
 
     static scripted_answer answer_store(const http_request& request)
@@ -165,12 +170,6 @@
         return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
     }
 
-    bool ready()
-    {
-        ticks += 1;
-        return ticks > 40;
-    }
-
     /// Runs the node until `done` says so; false when it takes more than three seconds.
     bool turn(const std::function<bool()>& done)
     {
@@ -187,6 +186,13 @@
         return true;
     }
 
+    /// Runs the node until what began with its start is over; held reads last longer than that.
+    void settle()
+    {
+        const instant begun = io::monotonic_now();
+        turn([&] { return io::monotonic_now() - begun > std::chrono::milliseconds(300); });
+    }
+
     /// A caller's exchange that ends when `enough` says so or the connection does.
     std::string call(const std::string& bytes, const std::function<bool(const std::string&)>& enough)
     {
@@ -202,7 +208,6 @@
     std::vector<std::unique_ptr<scripted_server>> servers;
     fake_protocol wire;
     std::unique_ptr<gateway_node> node;
-    unsigned ticks = 0;
 };
 
 std::string request(const std::string& method, const std::string& path, const std::string& id,
@@ -362,6 +367,51 @@
     BOOST_TEST(run.servers[0]->requests() == 1U);
 }
 
+/// The rule that failed: a read that the store held missed a record that came while the store was slow.
+BOOST_AUTO_TEST_CASE(a_node_that_hears_of_a_newer_configuration_reads_it_at_once)
+{
+    std::atomic<unsigned> reads = 0;
+    running_node run({echo}, [&reads](const http_request& request) {
+        if (request.target == "/read/0") {
+            reads += 1;
+            return scripted_answer{"", false, false, true};
+        }
+        return running_node::answer_store(request);
+    });
+    run.settle();
+    const unsigned before = reads;
+    const instant heard = io::monotonic_now();
+    test::send_datagram(run.wire.settings.peer_address,
+                        encode_digest(load_digest{"127.0.0.1:9", 1, true, {}, {}, 5}));
+    BOOST_TEST(run.turn([&] { return reads.load() > before; }));
+    BOOST_TEST((io::monotonic_now() - heard < std::chrono::milliseconds(500)));
+}
+
+/// The rule that failed: a read that the store held outlasted the store's outage.
+BOOST_AUTO_TEST_CASE(a_held_read_is_begun_again_when_the_store_is_lost_and_when_it_is_back)
+{
+    std::atomic<unsigned> reads = 0;
+    std::atomic<bool> out = false;
+    running_node run({echo}, [&](const http_request& request) {
+        if (request.target == "/read/0") {
+            reads += 1;
+            return scripted_answer{"", false, false, true};
+        }
+        if (out && request.target == "/read/1") {
+            return scripted_answer{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"};
+        }
+        return running_node::answer_store(request);
+    });
+    run.settle();
+    unsigned before = reads;
+    out = true;
+    BOOST_TEST(run.turn([&] { return reads.load() > before; }));
+    run.settle();
+    before = reads;
+    out = false;
+    BOOST_TEST(run.turn([&] { return reads.load() > before; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_node_is_not_ready_and_still_answers)
 {
     running_node run({echo});
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -73,6 +73,9 @@
 std::string exchange(const std::string& address, const std::string& bytes,
                      const std::function<bool(const std::string&)>& enough);
 
+/// Sends one datagram to `IP:port`.
+void send_datagram(const std::string& address, const std::string& bytes);
+
 /// A port that was free a moment ago, as `127.0.0.1:port`.
 std::string free_address();
 
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -163,6 +163,15 @@
     return received;
 }
 
+void send_datagram(const std::string& address, const std::string& bytes)
+{
+    const int sender = ::socket(AF_INET, SOCK_DGRAM, 0);
+    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
+    ::sendto(sender, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&remote),
+             sizeof remote);
+    ::close(sender);
+}
+
 std::string free_address()
 {
     sockaddr_in local{};
