Test the spread of a burst near what the engines can read

At 70 requests a second both early and late news now serve all in time since a part's home gains more, so the test no longer told them apart. The bounds are stricter than before (0.95, and 0.1 above late news).

--- a/src/currantspar/relay/engine_choice_test.cpp
+++ b/src/currantspar/relay/engine_choice_test.cpp
@@ -244,17 +244,18 @@
     BOOST_TEST(told.read_again <= 0.1);
 }
 
-/// The pattern: the long prompts come twice as often for some seconds.
+/// The pattern: the long prompts come three times as often, near what the engines can read.
 BOOST_AUTO_TEST_CASE(a_burst_of_shared_prompts_is_spread_by_news_between_nodes)
 {
     shared_prompt_load load;
-    load.requests_per_second = 70;
+    load.requests_per_second = 90;
     const reading_result told = play_nodes(load, 0.002);
     const reading_result told_late = play_nodes(load, 0.1);
     const reading_result untold = play_nodes(load, 1000);
     BOOST_TEST(told.in_time >= play_prefix_hash(load).in_time);
     BOOST_TEST(told.in_time >= play_least_loaded(load).in_time);
-    BOOST_TEST(told.in_time > told_late.in_time);
+    BOOST_TEST(told.in_time >= 0.95);
+    BOOST_TEST(told.in_time > told_late.in_time + 0.1);
     BOOST_TEST(told.in_time > untold.in_time + 0.1);
 }
 
