Decide in one place when an attempt is silent for too long

Cause: the tick had the same give-up written twice, for calls that may be repeated and for prompts; store_watch kept a flag that nobody read. One function names the reason, one branch gives up; the flag is gone. Behaviour as before.

--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -75,7 +75,6 @@
     instant due_{};
     instant begun_{};
     bool in_touch_ = false;
-    bool ever_in_touch_ = false;
     unsigned failures_ = 0;
 };
 
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -128,7 +128,6 @@
 {
     failures_ = 0;
     if (!std::exchange(in_touch_, true)) {
-        ever_in_touch_ = true;
         handlers_.back(now);
     }
 }
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -560,6 +560,21 @@
     requests_.erase(it);
 }
 
+const char* relay_core::silent_too_long(const request& req, instant now) const
+{
+    if (req.current.value() == 0) {
+        return nullptr;
+    }
+    const bool may_repeat =
+        req.route->kind == repetition::idempotent && req.written && req.runs + 1 < req.route->max_attempts;
+    if (may_repeat && now - req.sent > req.route->target * options_.hedge_factor) {
+        return "silent";
+    }
+    const bool reading = req.stage == attempt_stage::read_prompt;
+    const duration expected = from_seconds(req.where.first_event_ms / 1000.0);
+    return reading && now - req.sent > expected + options_.read_grace ? "prompt_late" : nullptr;
+}
+
 relay_effects relay_core::on_tick(instant now)
 {
     relay_effects out;
@@ -579,21 +594,11 @@
                 end_attempt(req, false, now);
             }
             fail(it, "timeout", now, out);
-        } else if (waiting && req.route->kind == repetition::idempotent && req.written &&
-                   now - req.sent > req.route->target * options_.hedge_factor &&
-                   req.runs + 1 < req.route->max_attempts) {
+        } else if (const char* silence = silent_too_long(req, now)) {
             const attempt_id silent = req.current;
             out.push_back(cancel_attempt{silent});
-            for (relay_effect& effect : on_failure(silent, attempt_failure::lost, "silent", now)) {
-                out.push_back(std::move(effect));
-            }
-        } else if (waiting && req.stage == attempt_stage::read_prompt &&
-                   now - req.sent > from_seconds(req.where.first_event_ms / 1000.0) + options_.read_grace) {
-            const attempt_id silent = req.current;
-            out.push_back(cancel_attempt{silent});
-            for (relay_effect& effect : on_failure(silent, attempt_failure::lost, "prompt_late", now)) {
-                out.push_back(std::move(effect));
-            }
+            relay_effects effects = on_failure(silent, attempt_failure::lost, silence, now);
+            std::move(effects.begin(), effects.end(), std::back_inserter(out));
         }
         it = next;
     }
