--- /dev/null
+++ b/include/currantspar/gateway/load_digest.hpp
@@ -0,0 +1,36 @@
+#ifndef CURRANTSPAR_GATEWAY_LOAD_DIGEST_HPP
+#define CURRANTSPAR_GATEWAY_LOAD_DIGEST_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "currantspar/base/result.hpp"
+#include "currantspar/relay/directory_feed.hpp"
+#include "currantspar/relay/engine_choice.hpp"
+
+namespace currantspar::gateway {
+
+/// What one node tells the others, decoded.
+struct load_digest
+{
+    std::string sender; ///< the node's peer address
+    std::uint64_t sequence = 0;
+    bool whole = false; ///< all of the sender's work; otherwise only what changed
+    relay::engine_loads engines;
+    std::vector<relay::cached_part> parts;             ///< read for the sender lately
+    std::uint64_t configuration = 0;                   ///< version in force at the sender; 0: none
+    data_centre_id data_centre;                        ///< of the sender
+    std::optional<relay::directory_statement> servers; ///< when the sender reads the shared store
+};
+
+/// The bytes of a digest. Thread safe.
+[[nodiscard]] std::string encode_digest(const load_digest& digest);
+/// Reads a digest; an error of kind `invalid` when the bytes hold none. Thread safe.
+[[nodiscard]] result<load_digest> decode_digest(std::string_view bytes);
+
+} // namespace currantspar::gateway
+
+#endif
--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,26 +14,10 @@
 
 #include "currantspar/base/result.hpp"
 #include "currantspar/base/time.hpp"
-#include "currantspar/relay/engine_choice.hpp"
+#include "currantspar/gateway/load_digest.hpp"
 
 namespace currantspar::gateway {
 
-/// What one node tells the others about its work, decoded.
-struct load_digest
-{
-    std::string sender; ///< the node's peer address
-    std::uint64_t sequence = 0;
-    bool whole = false; ///< all of the sender's work; otherwise only what changed
-    relay::engine_loads engines;
-    std::vector<relay::cached_part> parts; ///< read for the sender lately
-    std::uint64_t configuration = 0;       ///< version in force at the sender; 0: none
-};
-
-/// The bytes of a digest. Thread safe.
-[[nodiscard]] std::string encode_digest(const load_digest& digest);
-/// Reads a digest; an error of kind `invalid` when the bytes hold none. Thread safe.
-[[nodiscard]] result<load_digest> decode_digest(std::string_view bytes);
-
 struct peer_link_options
 {
     duration news_period = std::chrono::milliseconds(4); ///< least time between digests of what changed
@@ -53,12 +38,15 @@
     peer_link(ACE_Reactor& reactor, peer_link_options options, digest_handler received);
     ~peer_link() override;
 
-    /// Begins to receive at `IP:port`.
-    [[nodiscard]] result<void> open(const std::string& address);
+    /// Begins to receive at `IP:port`; digests name `data_centre` as this node's.
+    [[nodiscard]] result<void> open(const std::string& address, const data_centre_id& data_centre);
     /// Digests go to this node from now on.
     void add_peer(const std::string& address, instant now);
-    /// Sends what is due.
-    void on_tick(relay::engine_choice& own, std::uint64_t configuration, instant now);
+    /// True when a digest may be sent again.
+    [[nodiscard]] bool due(instant now) const { return !self_.empty() && now >= news_due_; }
+    /// Sends what has changed since the last digest, if anything. Precondition: due().
+    void tell(relay::engine_choice& work, std::uint64_t configuration,
+              std::optional<relay::directory_statement> servers, instant now);
     /// Nodes heard lately, this one included.
     [[nodiscard]] std::size_t live_nodes() const { return peers_.size() + 1; }
     /// How many live nodes come before this one in the order that all nodes agree on.
@@ -85,6 +73,7 @@
     digest_handler received_;
     ACE_SOCK_Dgram socket_;
     std::string self_;
+    data_centre_id data_centre_;
     std::map<std::string, peer> peers_;
     relay::engine_loads told_;
     std::uint64_t told_configuration_ = 0;
--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSPAR_GATEWAY_STORE_WATCH_HPP
 #define CURRANTSPAR_GATEWAY_STORE_WATCH_HPP
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -14,7 +15,8 @@
     duration period{};        ///< between two reads; 0: the next read begins at once
     duration initial_delay{}; ///< before the first read
     duration wait{};          ///< how long the store may hold a read until records arrive
-    duration answer_timeout = std::chrono::milliseconds(1100); ///< beyond `wait`
+    /// Without a byte of the answer, beyond `wait`. A long answer on a slow link may take longer as a whole.
+    duration answer_timeout = std::chrono::milliseconds(1100);
     duration retry_first = std::chrono::milliseconds(150);
     duration retry_most = std::chrono::milliseconds(500);
 };
@@ -28,6 +30,8 @@
     std::function<void(const std::vector<keyed_record>&, instant)> changed;
     std::function<void(const std::string& reason, instant)> lost; ///< reads fail
     std::function<void(instant)> back;                            ///< reads work again
+    /// A read has ended well; it tells the topic as it was at `begun` or later. Called after the others.
+    std::function<void(instant begun)> read = [](instant) {};
 };
 
 /// Follows one topic of the shared store: lists its newest records, then reads on from there, and lists again
@@ -41,8 +45,22 @@
 
     /// Begins a read that is due, and gives one up that is overdue.
     void on_tick(instant now);
-    /// Gives up the read that is on its way and begins another: the store was found to be lost or back.
+    /// Gives up the read that is on its way and begins another, also while idle: the store was found to be
+    /// lost or back, or to have something newer.
     void restart(instant now);
+    /// While idle no read begins by itself: somebody else reads the topic.
+    void set_idle(bool idle) { idle_ = idle; }
+    /// True while the bytes of an answer arrive.
+    [[nodiscard]] bool receiving() const { return exchange_ != 0 && answer_.status != 0; }
+    /// Begins one read now unless one is on its way; also while idle.
+    void read_once(instant now);
+    /// A peer's reading serves this node: the read on its way isn't needed, and the store is in touch through
+    /// the peer.
+    void served_by_peer(instant now);
+    /// Records before `next` are known from elsewhere, so reads go on from there.
+    void advance(std::uint64_t next) { next_ = std::max(next_, next); }
+    /// Where the next read begins. Meaningful after the first listing.
+    [[nodiscard]] std::uint64_t next() const { return next_; }
     /// False while reads fail, and before the first one.
     [[nodiscard]] bool in_touch() const { return in_touch_; }
 
@@ -69,11 +87,15 @@
     std::string after_key_;
     std::vector<keyed_record> pages_;
     std::uint64_t next_ = 0;
+    std::uint64_t asked_from_ = 0; ///< where the read on its way began
+    bool idle_ = false;
+    bool wanted_once_ = false;
     http_answer answer_;
     exchange_id exchange_ = 0;
     bool started_ = false;
     instant due_{};
     instant begun_{};
+    instant heard_{}; ///< when bytes of the answer came last; before the first ones, when the read began
     bool in_touch_ = false;
     unsigned failures_ = 0;
 };
--- a/include/currantspar/io/clock.hpp
+++ b/include/currantspar/io/clock.hpp
@@ -8,6 +8,10 @@
 /// This process's monotonic time. Thread safe.
 [[nodiscard]] instant monotonic_now();
 
+/// Monotonic time that goes on while the machine is suspended: for leases and for the age of what is known.
+/// Not comparable with monotonic_now(). Thread safe.
+[[nodiscard]] instant suspend_aware_now();
+
 /// The wall clock, for people only. Thread safe.
 [[nodiscard]] wall_time wall_now();
 
--- /dev/null
+++ b/include/currantspar/relay/directory_feed.hpp
@@ -0,0 +1,83 @@
+#ifndef CURRANTSPAR_RELAY_DIRECTORY_FEED_HPP
+#define CURRANTSPAR_RELAY_DIRECTORY_FEED_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "currantspar/relay/model.hpp"
+
+namespace currantspar::relay {
+
+/// One change of the servers' list, as it stands in the shared store.
+struct directory_change
+{
+    std::uint64_t offset = 0; ///< of its record
+    backend_id id;
+    std::optional<server_entry> entry; ///< nothing: the server's entry was removed
+};
+
+/// What a node that reads the shared store tells the others of the servers' list.
+struct directory_statement
+{
+    std::uint64_t from = 0;                ///< all changes from this offset on are in `changes`
+    std::uint64_t to = 0;                  ///< up to this offset, which isn't covered
+    std::vector<directory_change> changes; ///< by offset
+    duration age{};                        ///< how old the statement's knowledge of the store is
+    std::optional<duration> since_outage;  ///< since the store answered its sender again, when lately
+};
+
+struct directory_feed_options
+{
+    unsigned times_told = 2;       ///< statements in which a change is named, as one may be lost
+    std::size_t changes_most = 60; ///< told in one statement
+};
+
+/// Follows the records of the servers' list and keeps the last real changes, so that one node's reading can
+/// serve others. Most records only renew an entry; these change nothing. A receiver applies a statement only
+/// when it joins what the receiver knows already, so lost or reordered statements can't hide a change. Not
+/// thread safe.
+class directory_feed
+{
+public:
+    explicit directory_feed(directory_feed_options options = {}) : options_(options) {}
+
+    /// A whole listing was read; the store's records from `end` on are not part of it.
+    void on_listed(const std::vector<server_entry>& entries, std::uint64_t end);
+    /// A record that this node read. True: it changes the list; records that are known already don't.
+    bool on_record(const directory_change& record);
+    /// All records before `next` are known now.
+    void on_position(std::uint64_t next);
+    /// Takes a peer's statement over. The changes that are new to this node; nothing when the statement
+    /// doesn't join what is known, so that this node must read the store itself.
+    [[nodiscard]] std::optional<std::vector<directory_change>> take(const directory_statement& statement);
+
+    /// False before the first listing.
+    [[nodiscard]] bool listed() const { return listed_; }
+    /// Where the next unknown record begins.
+    [[nodiscard]] std::uint64_t next() const { return next_; }
+    /// True when there are changes that no statement has told yet.
+    [[nodiscard]] bool untold() const;
+    /// What to tell peers; `age` and `since_outage` are left to the caller. Precondition: listed().
+    [[nodiscard]] directory_statement statement();
+
+private:
+    struct recent_change
+    {
+        directory_change change;
+        unsigned told = 0; ///< in how many statements
+    };
+
+    directory_feed_options options_;
+    bool listed_ = false;
+    std::uint64_t complete_from_ = 0; ///< changes_ holds all changes from this offset on
+    std::uint64_t next_ = 0;
+    std::map<backend_id, server_entry> known_;
+    std::deque<recent_change> changes_;
+};
+
+} // namespace currantspar::relay
+
+#endif
--- a/schema/load.capnp
+++ b/schema/load.capnp
@@ -13,6 +13,30 @@
   engines @3 :List(EngineLoad);
   parts @4 :List(CachedPart); # prompt parts that the sender has had read since its last digest
   configuration @5 :UInt64;   # version in force at the sender; 0: none
+  dataCentre @6 :Text;        # of the sender
+  servers @7 :ServersStatement; # null: the sender doesn't read the shared store, or has nothing to tell now
+}
+
+# What the sender read from the shared store of the servers' list.
+struct ServersStatement {
+  from @0 :UInt64;            # all changes from this offset on are named
+  to @1 :UInt64;              # up to this offset, which isn't covered
+  ageMs @2 :UInt32;           # of the sender's knowledge
+  outageAge @3 :UInt32;       # milliseconds since the store answered the sender again; 0: long ago
+  changes @4 :List(ServerChange);
+}
+
+struct ServerChange {
+  offset @0 :UInt64;
+  id @1 :Text;
+  removed @2 :Bool;           # the fields below are empty
+  service @3 :Text;
+  address @4 :Text;
+  dataCentre @5 :Text;
+  slots @6 :UInt32;
+  draining @7 :Bool;
+  role @8 :UInt8;             # 0: no engine; otherwise one more than the place in engine_role
+  started @9 :Int64;          # milliseconds of its own wall clock
 }
 
 struct CachedPart {
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -21,19 +21,9 @@
 /// Kept free before the process would be killed.
 constexpr duration stop_margin = std::chrono::milliseconds(400);
 constexpr duration idle_check_period = std::chrono::milliseconds(250);
-constexpr duration server_poll_period = std::chrono::milliseconds(800);
-constexpr duration node_list_period = std::chrono::seconds(15);
-/// By then nodes that started together have written their records.
-constexpr duration node_list_delay = std::chrono::milliseconds(1200);
 /// For calls of the node's own whose answers nobody waits for.
 constexpr duration call_timeout = std::chrono::milliseconds(1500);
 constexpr duration announce_retry = std::chrono::seconds(2);
-/// Reads of the configuration are held between these times, drawn for each node so that they don't end
-/// together.
-constexpr duration configuration_wait_least = std::chrono::milliseconds(2500);
-constexpr duration configuration_wait_spread = std::chrono::milliseconds(2500);
-/// Between two early reads of the configuration that peers' digests cause.
-constexpr duration hasten_period = std::chrono::milliseconds(400);
 /// Statuses that promise that a request hasn't run.
 constexpr int promises[] = {408, 421, 429, 503};
 
@@ -124,7 +114,12 @@
       metrics_server_(reactor, [this](const http_request&) { return answer_metrics(); }),
       front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
       peers_(reactor, {}, [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
-      roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address)
+      roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address),
+      store_reader_(store_, wire, core_, peers_, settings_, [this](const relay::server_entry& entry) {
+          if (entry.role) {
+              roles_.on_role(entry.id, *entry.role);
+          }
+      })
 {}
 
 gateway_node::~gateway_node() = default;
@@ -143,11 +138,11 @@
         }
     }
     if (!settings_.peer_address.empty()) {
-        if (auto opened = peers_.open(settings_.peer_address); !opened) {
+        if (auto opened = peers_.open(settings_.peer_address, settings_.data_centre); !opened) {
             return opened;
         }
     }
-    watch_store();
+    store_reader_.open(settings_.store_address);
     io::log_event(io::log_level::info, "started",
                   {{"node", settings_.node},
                    {"data_centre", settings_.data_centre.str()},
@@ -165,7 +160,7 @@
 http_answer gateway_node::answer_metrics()
 {
     const gateway_counts counts{servers_.connects(), connections_.size(), peers_.live_nodes(),
-                                configuration_version(), ready()};
+                                store_reader_.configuration_version(), ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
@@ -411,99 +406,21 @@
     }
 }
 
-// The shared store.
-
-void gateway_node::watch_store()
-{
-    store_watch_options configuration;
-    random_generator draw(fast_hash(settings_.node));
-    configuration.wait =
-        configuration_wait_least + from_seconds(to_seconds(configuration_wait_spread) * draw.unit());
-    watches_.push_back(std::make_unique<store_watch>(
-        store_, wire_, settings_.store_address, shared_topic::configuration, configuration,
-        store_watch_handlers{
-            [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
-            [this](const std::vector<keyed_record>& records, instant now) { on_configuration(records, now); },
-            [](const std::string& reason, instant) {
-                io::log_event(io::log_level::warning, "store_lost",
-                              {{"topic", "configuration"}, {"reason", reason}});
-            },
-            [](instant) {
-                io::log_event(io::log_level::info, "store_back", {{"topic", "configuration"}});
-            }}));
-    configuration_watch_ = watches_.back().get();
-    store_watch_options servers;
-    servers.period = server_poll_period;
-    watches_.push_back(std::make_unique<store_watch>(
-        store_, wire_, settings_.store_address, shared_topic::servers, servers,
-        store_watch_handlers{
-            [this](const std::vector<keyed_record>& records, instant now) { on_servers(records, true, now); },
-            [this](const std::vector<keyed_record>& records, instant now) {
-                on_servers(records, false, now);
-            },
-            [this](const std::string& reason, instant now) {
-                core_.directory().on_store_lost(now);
-                configuration_watch_->restart(now);
-                io::log_event(io::log_level::warning, "store_lost",
-                              {{"topic", "servers"}, {"reason", reason}});
-            },
-            [this](instant now) {
-                core_.directory().on_store_back(now);
-                configuration_watch_->restart(now);
-                io::log_event(io::log_level::info, "store_back", {{"topic", "servers"}});
-            }}));
-    if (settings_.peer_address.empty()) {
-        return;
-    }
-    store_watch_options nodes;
-    nodes.period = node_list_period;
-    nodes.initial_delay = node_list_delay;
-    watches_.push_back(std::make_unique<store_watch>(
-        store_, wire_, settings_.store_address, shared_topic::nodes, nodes,
-        store_watch_handlers{
-            [this](const std::vector<keyed_record>& records, instant now) { on_nodes(records, now); },
-            [this](const std::vector<keyed_record>& records, instant now) { on_nodes(records, now); },
-            [](const std::string& reason, instant) {
-                io::log_event(io::log_level::warning, "store_lost", {{"topic", "nodes"}, {"reason", reason}});
-            },
-            [](instant) {
-                io::log_event(io::log_level::info, "store_back", {{"topic", "nodes"}});
-            }}));
-}
-
-void gateway_node::on_nodes(const std::vector<keyed_record>& records, instant now)
-{
-    for (const keyed_record& record : records) {
-        if (record.value) {
-            peers_.add_peer(record.key, now);
-        }
-    }
-}
+// Peers.
 
 void gateway_node::on_digest(const load_digest& digest, instant now)
 {
     core_.engines().on_peer_work(digest.sender, digest.engines, digest.whole, now);
     core_.engines().on_peer_parts(digest.parts, now);
-    const std::uint64_t own = configuration_version();
-    if (digest.configuration > own && now >= hasten_due_) {
-        hasten_due_ = now + hasten_period;
-        io::log_event(io::log_level::info, "configuration_behind",
-                      {{"peer", digest.sender},
-                       {"own", std::to_string(own)},
-                       {"peers", std::to_string(digest.configuration)}});
-        configuration_watch_->restart(now);
-    }
-}
-
-std::uint64_t gateway_node::configuration_version() const
-{
-    const auto& config = core_.routes().config();
-    return config ? config->version : 0;
+    store_reader_.on_digest(digest, now);
 }
 
 void gateway_node::tell_peers(instant now)
 {
-    peers_.on_tick(core_.engines(), configuration_version(), now);
+    if (peers_.due(now)) {
+        peers_.tell(core_.engines(), store_reader_.configuration_version(), store_reader_.statement(now),
+                    now);
+    }
 }
 
 void gateway_node::announce(instant now)
@@ -524,76 +441,11 @@
         now);
 }
 
-void gateway_node::on_configuration(const std::vector<keyed_record>& records, instant)
-{
-    for (const keyed_record& record : records) {
-        const auto config = wire_.decode_config(record);
-        if (!config) {
-            io::log_event(io::log_level::warning, "configuration_unreadable",
-                          {{"key", record.key},
-                           {"offset", std::to_string(record.offset)},
-                           {"reason", config.error().message}});
-            continue;
-        }
-        if (*config == nullptr) {
-            continue;
-        }
-        const bool newer = core_.on_config(*config);
-        io::log_event(io::log_level::info, newer ? "configuration_in_force" : "configuration_ignored",
-                      {{"version", std::to_string((*config)->version)},
-                       {"offset", std::to_string(record.offset)},
-                       {"routes", std::to_string((*config)->routes.size())}});
-    }
-}
-
-void gateway_node::on_servers(const std::vector<keyed_record>& records, bool whole, instant now)
-{
-    std::vector<relay::server_entry> listed;
-    for (const keyed_record& record : records) {
-        const backend_id id(record.key);
-        if (!record.value) {
-            if (core_.directory().remove(id, now) == relay::entry_change::closed) {
-                core_.engines().forget_engine(id);
-                io::log_event(io::log_level::info, "server_removed", {{"server", record.key}});
-            }
-            continue;
-        }
-        const auto entry = wire_.decode_server(record);
-        if (!entry) {
-            io::log_event(io::log_level::warning, "server_entry_unreadable",
-                          {{"server", record.key}, {"reason", entry.error().message}});
-            continue;
-        }
-        if (entry->role) {
-            roles_.on_role(id, *entry->role);
-        }
-        if (whole) {
-            listed.push_back(*entry);
-            continue;
-        }
-        const relay::entry_change change = core_.directory().put(*entry, now);
-        if (change != relay::entry_change::none) {
-            io::log_event(io::log_level::info,
-                          change == relay::entry_change::closed ? "server_draining" : "server_changed",
-                          {{"server", record.key},
-                           {"service", entry->service.str()},
-                           {"address", entry->address},
-                           {"offset", std::to_string(record.offset)}});
-        }
-    }
-    if (whole) {
-        core_.directory().replace(listed, now);
-        io::log_event(io::log_level::info, "servers_listed", {{"count", std::to_string(listed.size())}});
-    }
-}
-
 // Time.
 
 void gateway_node::on_tick(instant now)
 {
-    for (const auto& watch : watches_) {
-        watch->on_tick(now);
-    }
+    store_reader_.on_tick(now);
     announce(now);
     calls_.on_tick(now);
     servers_.on_tick(now);
@@ -641,9 +493,8 @@
 void gateway_node::reload(const gateway_settings& fresh)
 {
     if (fresh.store_address != settings_.store_address) {
-        watches_.clear();
         settings_.store_address = fresh.store_address;
-        watch_store();
+        store_reader_.open(settings_.store_address);
     }
     io::log_event(io::log_level::info, "settings_reloaded", {{"store", settings_.store_address}});
 }
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -11,13 +11,13 @@
 #include "currantspar/gateway/event_splitter.hpp"
 #include "currantspar/gateway/peer_link.hpp"
 #include "currantspar/gateway/server_connection.hpp"
-#include "currantspar/gateway/store_watch.hpp"
 #include "currantspar/gateway/wire_protocol.hpp"
 #include "currantspar/relay/relay_core.hpp"
 #include "gateway_metrics.hpp"
 #include "listener.hpp"
 #include "question_server.hpp"
 #include "role_controller.hpp"
+#include "store_reader.hpp"
 #include "whole_call.hpp"
 
 namespace currantspar::gateway {
@@ -74,16 +74,11 @@
     void on_failed(attempt& from, bool written, const std::string& detail);
     void retire(attempt_id number);
 
-    // The shared store.
-    void watch_store();
-    void on_configuration(const std::vector<keyed_record>& records, instant now);
-    void on_servers(const std::vector<keyed_record>& records, bool whole, instant now);
-    void on_nodes(const std::vector<keyed_record>& records, instant now);
-    /// Takes over what a peer tells, and reads the configuration at once when the peer has a newer one.
+    // Peers.
+    /// Takes over what a peer tells.
     void on_digest(const load_digest& digest, instant now);
     /// Tells the peers what has changed, unless that was done a moment ago.
     void tell_peers(instant now);
-    [[nodiscard]] std::uint64_t configuration_version() const;
     /// Writes this node's record, by which the others find it.
     void announce(instant now);
 
@@ -102,15 +97,13 @@
     question_server ready_;
     question_server metrics_server_;
     listener front_listener_;
-    std::vector<std::unique_ptr<store_watch>> watches_;
-    store_watch* configuration_watch_ = nullptr; ///< one of watches_
     peer_link peers_;
     role_controller roles_;
+    store_reader store_reader_;
     whole_calls calls_;
     gateway_metrics metrics_;
     bool announced_ = false;
     instant announce_due_{};
-    instant hasten_due_{};
 
     std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::vector<std::unique_ptr<caller_connection>> closed_;
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -381,12 +381,76 @@
     run.settle();
     const unsigned before = reads;
     const instant heard = io::monotonic_now();
-    test::send_datagram(run.wire.settings.peer_address,
-                        encode_digest(load_digest{"127.0.0.1:9", 1, true, {}, {}, 5}));
+    test::send_datagram(
+        run.wire.settings.peer_address,
+        encode_digest(load_digest{"127.0.0.1:9", 1, true, {}, {}, 5, data_centre_id("b"), {}}));
     BOOST_TEST(run.turn([&] { return reads.load() > before; }));
     BOOST_TEST((io::monotonic_now() - heard < std::chrono::milliseconds(500)));
 }
 
+/// The load that broke the time in which a configuration must be in force: two thousand routes on slow links,
+/// while each of a hundred peers tells that it has them already.
+BOOST_AUTO_TEST_CASE(a_configuration_that_arrives_slowly_is_not_asked_for_again)
+{
+    std::atomic<unsigned> reads = 0;
+    std::atomic<bool> changed = false;
+    running_node run({echo}, [&](const http_request& request) {
+        if (request.target != "/read/0") {
+            return running_node::answer_store(request);
+        }
+        reads += changed ? 1 : 0;
+        return changed ? scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\nbegin", false, false,
+                                         true}
+                       : scripted_answer{"", false, false, true};
+    });
+    run.settle();
+    changed = true;
+    const instant begun = io::monotonic_now();
+    std::uint64_t sequence = 0;
+    run.turn([&] {
+        sequence += 1;
+        test::send_datagram(
+            run.wire.settings.peer_address,
+            encode_digest(load_digest{"127.0.0.1:9", sequence, true, {}, {}, 5, data_centre_id("b"), {}}));
+        return io::monotonic_now() - begun > std::chrono::milliseconds(900);
+    });
+    BOOST_TEST(reads.load() == 1U);
+}
+
+/// The load: a hundred nodes before a store whose calls are dear. A node that hears what another one of its
+/// data centre reads doesn't read the store, takes over its changes, and reads again when the other is
+/// silent.
+BOOST_AUTO_TEST_CASE(a_node_relies_on_the_reader_of_its_data_centre_while_it_is_heard)
+{
+    std::atomic<unsigned> reads = 0;
+    running_node run({echo, echo}, [&reads](const http_request& request) {
+        reads += request.target == "/read/1" ? 1 : 0;
+        return running_node::answer_store(request);
+    });
+    std::uint64_t sequence = 0;
+    const auto hear_for = [&](std::chrono::milliseconds span, std::uint64_t to,
+                              const std::vector<relay::directory_change>& changes) {
+        const instant begun = io::monotonic_now();
+        run.turn([&] {
+            sequence += 1;
+            load_digest digest{"127.0.0.1:1", sequence, true, {}, {}, 1, run.wire.settings.data_centre, {}};
+            digest.servers = relay::directory_statement{0, to, changes, std::chrono::milliseconds(10), {}};
+            test::send_datagram(run.wire.settings.peer_address, encode_digest(digest));
+            return io::monotonic_now() - begun > span;
+        });
+    };
+    hear_for(std::chrono::milliseconds(1300), 3, {});
+    const unsigned before = reads;
+    hear_for(std::chrono::milliseconds(1200), 3, {});
+    BOOST_TEST(reads.load() == before);
+    hear_for(std::chrono::milliseconds(100), 5, {{3, backend_id("server-1"), std::nullopt}});
+    BOOST_TEST(
+        run.call(request("POST", "/once/1", "a", "x"), ends_with("echo x")).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(run.servers[0]->requests() == 0U);
+    BOOST_TEST(run.servers[1]->requests() == 1U);
+    BOOST_TEST(run.turn([&] { return reads.load() > before; }));
+}
+
 /// The rule that failed: a read that the store held outlasted the store's outage.
 BOOST_AUTO_TEST_CASE(a_held_read_is_begun_again_when_the_store_is_lost_and_when_it_is_back)
 {
--- a/src/currantspar/gateway/load.capnp.h
+++ b/src/currantspar/gateway/load.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c1cf87668186831e);
+CAPNP_DECLARE_SCHEMA(bc780fee5183e66c);
+CAPNP_DECLARE_SCHEMA(ab7d726de011a8d7);
 CAPNP_DECLARE_SCHEMA(807e98b865a4f60e);
 CAPNP_DECLARE_SCHEMA(af1c04601621e2a3);
 
@@ -35,7 +37,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServersStatement {
+  ServersStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc780fee5183e66c, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerChange {
+  ServerChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab7d726de011a8d7, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,6 +138,12 @@
 
   inline  ::uint64_t getConfiguration() const;
 
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasServers() const;
+  inline  ::currantspar::gateway::wire::ServersStatement::Reader getServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -164,6 +202,20 @@
   inline  ::uint64_t getConfiguration();
   inline void setConfiguration( ::uint64_t value);
 
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasServers();
+  inline  ::currantspar::gateway::wire::ServersStatement::Builder getServers();
+  inline void setServers( ::currantspar::gateway::wire::ServersStatement::Reader value);
+  inline  ::currantspar::gateway::wire::ServersStatement::Builder initServers();
+  inline void adoptServers(::capnp::Orphan< ::currantspar::gateway::wire::ServersStatement>&& value);
+  inline ::capnp::Orphan< ::currantspar::gateway::wire::ServersStatement> disownServers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -182,6 +234,249 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::currantspar::gateway::wire::ServersStatement::Pipeline getServers();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServersStatement::Reader {
+public:
+  typedef ServersStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getTo() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint32_t getOutageAge() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServersStatement::Builder {
+public:
+  typedef ServersStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getTo();
+  inline void setTo( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getOutageAge();
+  inline void setOutageAge( ::uint32_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServersStatement::Pipeline {
+public:
+  typedef ServersStatement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerChange::Reader {
+public:
+  typedef ServerChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool getRemoved() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline bool getDraining() const;
+
+  inline  ::uint8_t getRole() const;
+
+  inline  ::int64_t getStarted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerChange::Builder {
+public:
+  typedef ServerChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
+
+  inline  ::uint8_t getRole();
+  inline void setRole( ::uint8_t value);
+
+  inline  ::int64_t getStarted();
+  inline void setStarted( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerChange::Pipeline {
+public:
+  typedef ServerChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -508,6 +803,389 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadDigest::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadDigest::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadDigest::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadDigest::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadDigest::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool LoadDigest::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::currantspar::gateway::wire::ServersStatement::Reader LoadDigest::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::currantspar::gateway::wire::ServersStatement::Builder LoadDigest::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::currantspar::gateway::wire::ServersStatement::Pipeline LoadDigest::Pipeline::getServers() {
+  return  ::currantspar::gateway::wire::ServersStatement::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void LoadDigest::Builder::setServers( ::currantspar::gateway::wire::ServersStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::currantspar::gateway::wire::ServersStatement::Builder LoadDigest::Builder::initServers() {
+  return ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::adoptServers(
+    ::capnp::Orphan< ::currantspar::gateway::wire::ServersStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::currantspar::gateway::wire::ServersStatement> LoadDigest::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::currantspar::gateway::wire::ServersStatement>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ServersStatement::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServersStatement::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServersStatement::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServersStatement::Reader::getTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServersStatement::Builder::getTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServersStatement::Builder::setTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServersStatement::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServersStatement::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServersStatement::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServersStatement::Reader::getOutageAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServersStatement::Builder::getOutageAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServersStatement::Builder::setOutageAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServersStatement::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServersStatement::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Reader ServersStatement::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Builder ServersStatement::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServersStatement::Builder::setChanges( ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>::Builder ServersStatement::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServersStatement::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>> ServersStatement::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::ServerChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ServerChange::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerChange::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerChange::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerChange::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerChange::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerChange::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerChange::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerChange::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServerChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerChange::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerChange::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerChange::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerChange::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerChange::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerChange::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ServerChange::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerChange::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerChange::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServerChange::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServerChange::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerChange::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ServerChange::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerChange::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerChange::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServerChange::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerChange::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServerChange::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerChange::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServerChange::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerChange::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerChange::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerChange::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerChange::Reader::getRole() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerChange::Builder::getRole() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setRole( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerChange::Reader::getStarted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerChange::Builder::getStarted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerChange::Builder::setStarted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CachedPart::Reader::getEngine() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -130,9 +130,33 @@
 
 BOOST_AUTO_TEST_CASE(digests_survive_the_wire_and_garbage_does_not)
 {
-    const load_digest digest{"10.0.0.1:7380", 5, true, {{17, {120, 3, 51000}}}, {{17, 99}}, 8};
+    load_digest digest{"10.0.0.1:7380",     5, true, {{17, {120, 3, 51000}}}, {{17, 99}}, 8,
+                       data_centre_id("a"), {}};
+    relay::server_entry engine;
+    engine.id = backend_id("e1");
+    engine.service = service_id("llm");
+    engine.address = "10.0.0.9:80";
+    engine.data_centre = data_centre_id("b");
+    engine.slots = 64;
+    engine.draining = true;
+    engine.role = config::engine_role::decode;
+    engine.started_ms = 1234567890123;
+    digest.servers = relay::directory_statement{7,
+                                                12,
+                                                {{8, engine.id, engine}, {9, backend_id("e2"), std::nullopt}},
+                                                std::chrono::milliseconds(40),
+                                                std::chrono::milliseconds(900)};
     const auto read = decode_digest(encode_digest(digest));
     BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->data_centre.str() == "a");
+    BOOST_REQUIRE(read->servers.has_value());
+    BOOST_TEST(read->servers->from == 7U);
+    BOOST_TEST(read->servers->to == 12U);
+    BOOST_TEST((read->servers->age == std::chrono::milliseconds(40)));
+    BOOST_TEST((read->servers->since_outage == std::chrono::milliseconds(900)));
+    BOOST_REQUIRE(read->servers->changes.size() == 2U);
+    BOOST_TEST((read->servers->changes[0].entry == engine));
+    BOOST_TEST(!read->servers->changes[1].entry.has_value());
     BOOST_TEST(read->sender == digest.sender);
     BOOST_TEST(read->whole);
     BOOST_TEST(read->engines.at(17).tokens == 51000);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -5,87 +5,18 @@
 #include <cstring>
 
 #include <ace/Reactor.h>
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
 
 #include "currantspar/io/address.hpp"
 #include "currantspar/io/clock.hpp"
-#include "load.capnp.h"
 
 namespace currantspar::gateway {
 
 namespace {
 
 constexpr std::size_t datagram_bytes = 16384;
-/// A digest names at most this many engines, so that it fits one datagram.
-constexpr std::size_t engines_most = 400;
-constexpr std::size_t parts_most = 200;
-constexpr std::size_t traversal_words = 16384;
 
 } // namespace
 
-std::string encode_digest(const load_digest& digest)
-{
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::LoadDigest>();
-    root.setSender(digest.sender);
-    root.setSequence(digest.sequence);
-    root.setWhole(digest.whole);
-    root.setConfiguration(digest.configuration);
-    const std::size_t count = std::min(digest.engines.size(), engines_most);
-    auto engines = root.initEngines(static_cast<unsigned>(count));
-    unsigned index = 0;
-    for (const auto& [engine, work] : digest.engines) {
-        if (index == count) {
-            break;
-        }
-        auto entry = engines[index++];
-        entry.setEngine(engine);
-        entry.setReadMs(static_cast<std::uint32_t>(std::max(0.0, std::round(work.read_ms))));
-        entry.setRunning(static_cast<std::uint32_t>(std::max(0, work.running)));
-        entry.setTokens(static_cast<std::uint64_t>(std::max<std::int64_t>(0, work.tokens)));
-    }
-    const std::size_t part_count = std::min(digest.parts.size(), parts_most);
-    auto parts = root.initParts(static_cast<unsigned>(part_count));
-    for (std::size_t part = 0; part < part_count; ++part) {
-        parts[static_cast<unsigned>(part)].setEngine(digest.parts[part].engine);
-        parts[static_cast<unsigned>(part)].setPart(digest.parts[part].part);
-    }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
-}
-
-result<load_digest> decode_digest(std::string_view bytes)
-{
-    load_digest digest;
-    const auto problem = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        capnp::ReaderOptions limits;
-        limits.traversalLimitInWords = traversal_words;
-        capnp::PackedMessageReader message(in, limits);
-        const auto root = message.getRoot<wire::LoadDigest>();
-        digest.sender = root.getSender().cStr();
-        digest.sequence = root.getSequence();
-        digest.whole = root.getWhole();
-        digest.configuration = root.getConfiguration();
-        for (const auto entry : root.getEngines()) {
-            digest.engines[entry.getEngine()] = {static_cast<double>(entry.getReadMs()),
-                                                 static_cast<std::int32_t>(entry.getRunning()),
-                                                 static_cast<std::int64_t>(entry.getTokens())};
-        }
-        for (const auto part : root.getParts()) {
-            digest.parts.push_back({part.getEngine(), part.getPart()});
-        }
-    });
-    KJ_IF_MAYBE (exception, problem) {
-        return fail(error_kind::invalid, exception->getDescription().cStr());
-    }
-    return digest;
-}
-
 peer_link::peer_link(ACE_Reactor& reactor, peer_link_options options, digest_handler received)
     : reactor_(reactor), options_(options), received_(std::move(received))
 {}
@@ -98,7 +29,7 @@
     }
 }
 
-result<void> peer_link::open(const std::string& address)
+result<void> peer_link::open(const std::string& address, const data_centre_id& data_centre)
 {
     const auto parsed = io::parse_address(address);
     if (!parsed) {
@@ -110,6 +41,7 @@
     }
     socket_.enable(ACE_NONBLOCK);
     self_ = address;
+    data_centre_ = data_centre;
     if (reactor_.register_handler(this, ACE_Event_Handler::READ_MASK) != 0) {
         return fail(error_kind::internal, "the reactor doesn't take the socket at " + address);
     }
@@ -126,15 +58,14 @@
     }
 }
 
-void peer_link::on_tick(relay::engine_choice& work, std::uint64_t configuration, instant now)
+void peer_link::tell(relay::engine_choice& work, std::uint64_t configuration,
+                     std::optional<relay::directory_statement> servers, instant now)
 {
-    if (self_.empty() || now < news_due_) {
-        return;
-    }
     news_due_ = now + std::max(options_.news_period,
                                options_.news_period_per_peer * static_cast<std::int64_t>(peers_.size()));
     const relay::engine_loads& own = work.own_work();
-    load_digest digest{self_, 0, now >= whole_due_, {}, work.take_news(), configuration};
+    load_digest digest{
+        self_, 0, now >= whole_due_, {}, work.take_news(), configuration, data_centre_, std::move(servers)};
     if (digest.whole) {
         whole_due_ = now + options_.whole_period;
         forget_silent(now);
@@ -148,7 +79,8 @@
                 digest.engines.emplace(engine, load);
             }
         }
-        if (digest.engines.empty() && digest.parts.empty() && configuration == told_configuration_) {
+        if (digest.engines.empty() && digest.parts.empty() && !digest.servers &&
+            configuration == told_configuration_) {
             return;
         }
     }
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <ctime>
-
 #include "currantspar/io/clock.hpp"
 #include "currantspar/io/log.hpp"
 
@@ -11,15 +9,6 @@
 
 namespace {
 
-/// The time of a clock that goes on while the machine is suspended: a lease must not outlive a suspension.
-instant suspend_aware_now()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return instant(std::chrono::seconds(now.tv_sec) +
-                   std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
-}
-
 std::string role_name(config::engine_role role)
 {
     return role == config::engine_role::prefill ? "prefill" : "decode";
@@ -61,7 +50,7 @@
     if (now - wanted_since_ < options_.turn * static_cast<std::int64_t>(place)) {
         return;
     }
-    if (!lease_.token(suspend_aware_now())) {
+    if (!lease_.token(io::suspend_aware_now())) {
         step_lease(true);
         return;
     }
@@ -96,7 +85,7 @@
 
 void role_controller::step_lease(bool wanted)
 {
-    switch (lease_.next(wanted, suspend_aware_now())) {
+    switch (lease_.next(wanted, io::suspend_aware_now())) {
     case relay::lease_step::none:
         return;
     case relay::lease_step::read:
@@ -105,12 +94,12 @@
                   const auto page = answer == nullptr ? fail(error_kind::timeout, "no answer")
                                                       : wire_.decode_newest(*answer);
                   if (!page) {
-                      lease_.on_failed(suspend_aware_now());
+                      lease_.on_failed(io::suspend_aware_now());
                       return;
                   }
                   const bool any = !page->records.empty();
                   lease_.on_read(any ? std::optional(page->records.back().offset) : std::nullopt, page->end,
-                                 suspend_aware_now());
+                                 io::suspend_aware_now());
               });
         return;
     case relay::lease_step::claim:
@@ -120,7 +109,7 @@
                   const auto offset =
                       answer == nullptr ? fail(error_kind::timeout, "no answer") : wire_.decode_put(*answer);
                   if (!offset) {
-                      lease_.on_failed(suspend_aware_now());
+                      lease_.on_failed(io::suspend_aware_now());
                       io::log_event(io::log_level::info, "lease_not_claimed",
                                     {{"reason", offset.error().message}});
                       return;
@@ -164,7 +153,7 @@
 void role_controller::send_order(const relay::role_change& wanted, const relay::server_entry& engine,
                                  std::uint64_t orders)
 {
-    const auto token = lease_.token(suspend_aware_now());
+    const auto token = lease_.token(io::suspend_aware_now());
     if (!token) {
         changing_.erase(wanted.engine);
         return;
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -1,7 +1,5 @@
 #include "currantspar/gateway/store_watch.hpp"
 
-#include <algorithm>
-
 #include "currantspar/io/clock.hpp"
 
 namespace currantspar::gateway {
@@ -23,13 +21,13 @@
         due_ = now + options_.initial_delay;
     }
     if (exchange_ == 0) {
-        if (now >= due_) {
+        if (now >= due_ && (!idle_ || wanted_once_)) {
             begin(now);
         }
         return;
     }
-    const duration held = listing_ ? duration{} : options_.wait;
-    if (now - begun_ > held + options_.answer_timeout) {
+    const duration held = listing_ || receiving() ? duration{} : options_.wait;
+    if (now - heard_ > held + options_.answer_timeout) {
         pool_.cancel(std::exchange(exchange_, 0));
         failed("no answer", now);
     }
@@ -38,13 +36,31 @@
 void store_watch::restart(instant now)
 {
     pool_.cancel(std::exchange(exchange_, 0));
+    wanted_once_ = true;
     due_ = now;
 }
 
+void store_watch::served_by_peer(instant now)
+{
+    pool_.cancel(std::exchange(exchange_, 0));
+    wanted_once_ = false;
+    succeeded(now);
+}
+
+void store_watch::read_once(instant now)
+{
+    wanted_once_ = true;
+    if (exchange_ == 0 && failures_ == 0) {
+        due_ = now;
+    }
+}
+
 void store_watch::begin(instant now)
 {
     answer_ = {};
     begun_ = now;
+    heard_ = now;
+    asked_from_ = next_;
     const std::string request =
         listing_ ? wire_.encode_newest(topic_, after_key_) : wire_.encode_read(topic_, next_, options_.wait);
     exchange_ = pool_.start(store_, request, *this, now);
@@ -52,6 +68,7 @@
 
 bool store_watch::answer_head(int status, const http_fields& fields)
 {
+    heard_ = io::monotonic_now();
     answer_.status = status;
     answer_.fields = fields;
     return true;
@@ -59,6 +76,7 @@
 
 void store_watch::answer_body(std::string_view bytes)
 {
+    heard_ = io::monotonic_now();
     answer_.body.append(bytes);
 }
 
@@ -100,12 +118,14 @@
     after_key_.clear();
     listing_ = false;
     due_ = now + options_.period;
+    wanted_once_ = false;
     handlers_.listed(std::exchange(pages_, {}), now);
+    handlers_.read(begun_);
 }
 
 void store_watch::take_records(instant now)
 {
-    const auto batch = wire_.decode_read(answer_, next_);
+    const auto batch = wire_.decode_read(answer_, asked_from_);
     if (!batch) {
         failed(batch.error().message, now);
         return;
@@ -113,15 +133,18 @@
     succeeded(now);
     if (batch->compacted) {
         listing_ = true;
+        wanted_once_ = true;
         after_key_.clear();
         due_ = now;
         return;
     }
-    next_ = batch->next;
+    wanted_once_ = false;
+    advance(batch->next);
     due_ = now + options_.period;
     if (!batch->records.empty()) {
         handlers_.changed(batch->records, now);
     }
+    handlers_.read(begun_);
 }
 
 void store_watch::succeeded(instant now)
--- /dev/null
+++ b/src/currantspar/relay/directory_feed.cpp
@@ -0,0 +1,83 @@
+#include "currantspar/relay/directory_feed.hpp"
+
+#include <algorithm>
+
+namespace currantspar::relay {
+
+void directory_feed::on_listed(const std::vector<server_entry>& entries, std::uint64_t end)
+{
+    listed_ = true;
+    known_.clear();
+    for (const server_entry& entry : entries) {
+        known_.emplace(entry.id, entry);
+    }
+    changes_.clear();
+    complete_from_ = end;
+    next_ = end;
+}
+
+bool directory_feed::on_record(const directory_change& record)
+{
+    if (record.offset < next_) {
+        return false;
+    }
+    next_ = record.offset + 1;
+    const auto found = known_.find(record.id);
+    const bool same =
+        record.entry ? found != known_.end() && found->second == *record.entry : found == known_.end();
+    if (same) {
+        return false;
+    }
+    if (record.entry) {
+        known_.insert_or_assign(record.id, *record.entry);
+    } else {
+        known_.erase(found);
+    }
+    changes_.push_back({record, 0});
+    return true;
+}
+
+void directory_feed::on_position(std::uint64_t next)
+{
+    next_ = std::max(next_, next);
+}
+
+std::optional<std::vector<directory_change>> directory_feed::take(const directory_statement& statement)
+{
+    if (!listed_ || next_ < statement.from) {
+        return std::nullopt;
+    }
+    std::vector<directory_change> fresh;
+    for (const directory_change& change : statement.changes) {
+        if (on_record(change)) {
+            fresh.push_back(change);
+        }
+    }
+    on_position(statement.to);
+    return fresh;
+}
+
+bool directory_feed::untold() const
+{
+    return std::any_of(changes_.begin(), changes_.end(),
+                       [](const recent_change& each) { return each.told == 0; });
+}
+
+directory_statement directory_feed::statement()
+{
+    while (!changes_.empty() &&
+           (changes_.front().told >= options_.times_told || changes_.size() > options_.changes_most)) {
+        complete_from_ = changes_.front().change.offset + 1;
+        changes_.pop_front();
+    }
+    directory_statement result;
+    result.from = complete_from_;
+    result.to = next_;
+    for (recent_change& each : changes_) {
+        each.told += 1;
+        result.changes.push_back(each.change);
+    }
+    return result;
+}
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/directory_feed_test.cpp
@@ -0,0 +1,145 @@
+#include "currantspar/relay/directory_feed.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test_relay.hpp"
+
+namespace currantspar::relay {
+
+namespace {
+
+using test::make_server;
+
+directory_change put(std::uint64_t offset, const std::string& id, bool draining = false)
+{
+    server_entry entry = make_server(id, "desk");
+    entry.draining = draining;
+    return {offset, entry.id, entry};
+}
+
+directory_change removal(std::uint64_t offset, const std::string& id)
+{
+    return {offset, backend_id(id), std::nullopt};
+}
+
+/// A feed that listed servers "a" and "b" when the topic ended at offset 10.
+directory_feed listed_feed()
+{
+    directory_feed feed;
+    feed.on_listed({*put(0, "a").entry, *put(0, "b").entry}, 10);
+    return feed;
+}
+
+std::vector<std::string> names(const std::optional<std::vector<directory_change>>& changes)
+{
+    std::vector<std::string> result;
+    for (const directory_change& each : changes.value_or(std::vector<directory_change>())) {
+        result.push_back(each.id.str());
+    }
+    return result;
+}
+
+const std::vector<std::string> none;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(directory_feed_tests)
+
+BOOST_AUTO_TEST_CASE(renewals_of_an_entry_change_nothing)
+{
+    directory_feed feed = listed_feed();
+    BOOST_TEST(!feed.on_record(put(10, "a")));
+    BOOST_TEST(feed.on_record(put(11, "a", true)));
+    BOOST_TEST(!feed.on_record(put(12, "a", true)));
+    BOOST_TEST(feed.on_record(removal(13, "a")));
+    BOOST_TEST(!feed.on_record(removal(14, "a")));
+    BOOST_TEST(feed.next() == 15U);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_was_read_before_is_skipped)
+{
+    directory_feed feed = listed_feed();
+    BOOST_TEST(feed.on_record(put(12, "a", true)));
+    BOOST_TEST(!feed.on_record(put(11, "a")));
+    BOOST_TEST(!feed.on_record(removal(9, "b")));
+}
+
+BOOST_AUTO_TEST_CASE(a_follower_takes_each_change_once)
+{
+    directory_feed reader = listed_feed();
+    directory_feed follower = listed_feed();
+    reader.on_record(put(10, "a", true));
+    reader.on_record(removal(11, "b"));
+    BOOST_TEST(reader.untold());
+    const directory_statement told = reader.statement();
+    BOOST_TEST(!reader.untold());
+    BOOST_TEST(names(follower.take(told)) == (std::vector<std::string>{"a", "b"}));
+    BOOST_TEST(follower.next() == reader.next());
+    const auto again = follower.take(reader.statement());
+    BOOST_TEST(again.has_value());
+    BOOST_TEST(names(again) == none);
+}
+
+/// The load: nearly all records only renew entries, so lost datagrams between changes must not make 100 nodes
+/// read the store.
+BOOST_AUTO_TEST_CASE(statements_that_were_lost_between_changes_do_no_harm)
+{
+    directory_feed reader = listed_feed();
+    directory_feed follower = listed_feed();
+    for (std::uint64_t offset = 10; offset < 500; ++offset) {
+        reader.on_record(put(offset, offset % 2 == 0 ? "a" : "b"));
+    }
+    BOOST_TEST(follower.take(reader.statement()).has_value());
+    BOOST_TEST(follower.next() == 500U);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_leaves_out_a_change_is_not_taken)
+{
+    directory_feed reader = listed_feed();
+    directory_feed follower = listed_feed();
+    reader.on_record(put(10, "a", true));
+    static_cast<void>(reader.statement());
+    static_cast<void>(reader.statement());
+    const directory_statement later = reader.statement();
+    BOOST_TEST(later.changes.empty());
+    BOOST_TEST(!follower.take(later).has_value());
+    BOOST_TEST(follower.next() == 10U);
+    // After reading by itself the follower can follow again.
+    follower.on_record(put(10, "a", true));
+    BOOST_TEST(follower.take(later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_has_not_listed_takes_no_statement)
+{
+    directory_feed reader = listed_feed();
+    directory_feed fresh;
+    BOOST_TEST(!fresh.take(reader.statement()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_old_statement_that_was_overtaken_takes_nothing_back)
+{
+    directory_feed reader = listed_feed();
+    directory_feed follower = listed_feed();
+    reader.on_record(put(10, "a", true));
+    const directory_statement old = reader.statement();
+    reader.on_record(removal(11, "a"));
+    BOOST_TEST(follower.take(reader.statement()).has_value());
+    BOOST_TEST(names(follower.take(old)) == none);
+    BOOST_TEST(follower.next() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(a_burst_of_changes_is_told_up_to_a_bound)
+{
+    directory_feed reader = listed_feed();
+    directory_feed follower = listed_feed();
+    for (std::uint64_t offset = 10; offset < 110; ++offset) {
+        reader.on_record(put(offset, "n" + std::to_string(offset)));
+    }
+    const directory_statement told = reader.statement();
+    BOOST_TEST(told.changes.size() <= directory_feed_options().changes_most);
+    BOOST_TEST(!follower.take(told).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::relay
--- /dev/null
+++ b/src/currantspar/relay/reader_turn.cpp
@@ -0,0 +1,36 @@
+#include "currantspar/relay/reader_turn.hpp"
+
+#include <algorithm>
+
+namespace currantspar::relay {
+
+reader_turn::reader_turn(std::string self, data_centre_id data_centre, reader_turn_options options)
+    : self_(std::move(self)), data_centre_(std::move(data_centre)), options_(options)
+{}
+
+void reader_turn::on_node(const std::string& node, const data_centre_id& data_centre)
+{
+    if (data_centre == data_centre_ && node < self_) {
+        before_.insert(node);
+    }
+}
+
+bool reader_turn::on_statement(const std::string& node, duration age, instant now)
+{
+    if (!before_.contains(node)) {
+        return false;
+    }
+    const instant as_of = now - age;
+    known_at_ = told_ ? std::max(known_at_, as_of) : as_of;
+    told_ = true;
+    return true;
+}
+
+bool reader_turn::reads(instant now) const
+{
+    const auto place = std::min(before_.size(), static_cast<std::size_t>(options_.steps_most));
+    const duration limit = options_.fresh + options_.step * static_cast<std::int64_t>(place);
+    return !told_ || now - known_at_ > limit;
+}
+
+} // namespace currantspar::relay
