--- a/bench/support/child_process.cpp
+++ b/bench/support/child_process.cpp
@@ -25,6 +25,8 @@
     }
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
+    // What the starter listens at and is connected to must end with the starter.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(words[0], words);
     ::_exit(not_started);
 }
