Give a large fleet its roles before its traffic

Change: before traffic up to half of a service's engines change at once (8 before), under load 4 in 100 (2 before); requests of the last 10 s count as traffic, not only those open now. Ruled out: shorter leases (two holders' orders must be 3 s apart). Test: a_large_fleet_has_its_roles_before_its_traffic (fails without the share).

--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -71,7 +71,10 @@
     if (!config) {
         return wanted;
     }
-    const bool serving = core_.open_requests() > 0;
+    if (core_.open_requests() > 0) {
+        served_at_ = now;
+    }
+    const bool serving = served_at_ != instant() && now - served_at_ < options_.serving_memory;
     for (const relay::relayed_service& service : config->services) {
         if (!service.engines) {
             continue;
--- a/src/currantspar/relay/role_plan.cpp
+++ b/src/currantspar/relay/role_plan.cpp
@@ -47,7 +47,9 @@
     const unsigned decoders_least = std::min(options.decoders_least, total - 1);
     const auto share = static_cast<unsigned>(std::lround(total * options.reader_share));
     const unsigned wanted = std::min(share, total - decoders_least);
-    const unsigned most = serving ? options.changes_serving : options.changes_most;
+    const double most_share = serving ? options.changes_serving_share : options.changes_most_share;
+    const unsigned most = std::max(serving ? options.changes_serving : options.changes_most,
+                                   static_cast<unsigned>(total * most_share));
     std::vector<role_change> changes;
     const unsigned missing = serving ? options.readers_missing_serving : options.readers_missing;
     const bool too_few = reader_count + missing < wanted;
--- a/src/currantspar/relay/role_plan_test.cpp
+++ b/src/currantspar/relay/role_plan_test.cpp
@@ -67,6 +67,23 @@
     BOOST_TEST(plan_roles(fleet(2, 16), {}, true, {}).size() == 2U);
 }
 
+/// The load: 140 engines, of which a third read prompts, before traffic that comes 14 s after the nodes
+/// start. A claim's orders go out together, claims are 5.5 s apart and a change takes 3 s, so it must be done
+/// in two rounds.
+BOOST_AUTO_TEST_CASE(a_large_fleet_has_its_roles_before_its_traffic)
+{
+    std::vector<server_entry> engines = fleet(49, 91);
+    for (int round = 0; round < 2; ++round) {
+        for (const role_change& change : plan_roles(engines, {}, false, {})) {
+            std::find_if(engines.begin(), engines.end(), [&](const server_entry& engine) {
+                return engine.id == change.engine;
+            })->role = change.role;
+        }
+    }
+    BOOST_TEST(plan_roles(engines, {}, false, {}).empty());
+    BOOST_TEST(plan_roles(fleet(49, 91), {}, true, {}).size() <= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(a_fleet_of_few_engines_keeps_both_roles)
 {
     const auto changes = plan_roles(fleet(0, 2), {}, false, {.readers_missing = 0});
