Let one class own callers' connections, and call what the project has

What a server's change means for the engines' cached parts was decided in the module that reads the store: relay_core::on_server_change. The version in force was derived in two places: routing_table::version. Accessors that nobody called are gone.

--- a/include/currantspar/gateway/event_splitter.hpp
+++ b/include/currantspar/gateway/event_splitter.hpp
@@ -17,8 +17,6 @@
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
     /// True when no part of an event waits.
     [[nodiscard]] bool at_event_end() const { return waiting_.empty(); }
-    /// Bytes of an event that hasn't ended.
-    [[nodiscard]] const std::string& waiting() const { return waiting_; }
 
 private:
     void note_ids(std::string_view events);
--- a/include/currantspar/gateway/http_message.hpp
+++ b/include/currantspar/gateway/http_message.hpp
@@ -25,6 +25,9 @@
 /// True for fields that concern one connection only, and for those that frame the body. Thread safe.
 [[nodiscard]] bool is_connection_field(std::string_view name);
 
+/// True for statuses that promise that a request hasn't run and never will. Thread safe.
+[[nodiscard]] bool promises_not_run(int status);
+
 struct http_request
 {
     std::string method;
--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -2,7 +2,6 @@
 #define CURRANTSPAR_GATEWAY_SERVER_CONNECTION_HPP
 
 #include <cstdint>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -68,7 +67,6 @@
     [[nodiscard]] bool has_idle(const std::string& address) const;
     /// New connections since the start.
     [[nodiscard]] std::uint64_t connects() const { return connects_; }
-    [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
 
 private:
     class connection;
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -11,6 +11,7 @@
 #include "currantspar/core/ledger.hpp"
 #include "currantspar/policy/backend_health.hpp"
 #include "currantspar/policy/limits.hpp"
+#include "currantspar/relay/directory_feed.hpp"
 #include "currantspar/relay/engine_choice.hpp"
 #include "currantspar/relay/relay_effect.hpp"
 #include "currantspar/relay/routing_table.hpp"
@@ -62,6 +63,8 @@
 
     /// Takes a configuration over; false: it isn't newer than the one in force.
     bool on_config(std::shared_ptr<const relay_config> config);
+    /// Takes a change of the servers over; an engine that restarted or left has nothing cached any more.
+    entry_change on_server_change(const directory_change& change, instant now);
     [[nodiscard]] server_directory& directory() { return directory_; }
     [[nodiscard]] const server_directory& directory() const { return directory_; }
     [[nodiscard]] const routing_table& routes() const { return routes_; }
@@ -141,6 +144,9 @@
     using request_map = std::map<request_number, request>;
 
     [[nodiscard]] policy::retry_budget& budget(const service_id& service);
+    /// Servers that a request doesn't go to: those that the circuit avoids, and those that it was at.
+    [[nodiscard]] std::set<backend_id> unfit(const request& req, const std::vector<server_entry>& servers,
+                                             instant now) const;
     [[nodiscard]] request_map::iterator find_attempt(attempt_id attempt);
     void dispatch(request_map::iterator it, instant now, relay_effects& out);
     void dispatch_call(request_map::iterator it, instant now, relay_effects& out);
--- a/include/currantspar/relay/routing_table.hpp
+++ b/include/currantspar/relay/routing_table.hpp
@@ -32,6 +32,8 @@
     /// Takes a configuration over when it is newer than the one in force; false: it isn't.
     bool adopt(std::shared_ptr<const relay_config> config);
     [[nodiscard]] route_lookup find(std::string_view host, std::string_view path) const;
+    /// The version in force; 0 before the first configuration.
+    [[nodiscard]] std::uint64_t version() const { return config_ ? config_->version : 0; }
     /// Null before the first configuration.
     [[nodiscard]] const std::shared_ptr<const relay_config>& config() const { return config_; }
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -24,8 +24,6 @@
 /// For calls of the node's own whose answers nobody waits for.
 constexpr duration call_timeout = std::chrono::milliseconds(1500);
 constexpr duration announce_retry = std::chrono::seconds(2);
-/// Statuses that promise that a request hasn't run.
-constexpr int promises[] = {408, 421, 429, 503};
 
 relay::relay_options to_options(const gateway_settings& settings)
 {
@@ -37,11 +35,6 @@
     return options;
 }
 
-bool is_promise(int status)
-{
-    return std::find(std::begin(promises), std::end(promises), status) != std::end(promises);
-}
-
 http_fields forwarded_fields(const http_fields& fields)
 {
     http_fields out;
@@ -108,11 +101,15 @@
 };
 
 gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
-    : reactor_(reactor), wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)),
-      servers_(reactor, {}), store_(reactor, {}),
+    : wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)), servers_(reactor, {}),
+      store_(reactor, {}),
       ready_(reactor, [this](const http_request& request) { return answer_ready(request); }),
       metrics_server_(reactor, [this](const http_request&) { return answer_metrics(); }),
-      front_listener_(reactor, [this](ACE_SOCK_Stream& accepted) { accept_caller(accepted); }),
+      front_(reactor, *this,
+             [this] {
+                 const relay::front_limits now = limits();
+                 return reader_limits{now.header_bytes, now.body_bytes};
+             }),
       peers_(reactor, {}, [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
       roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address),
       store_reader_(store_, wire, core_, peers_, settings_, [this](const relay::server_entry& entry) {
@@ -132,7 +129,7 @@
     if (auto opened = ready_.open(settings_.ready_address); !opened) {
         return opened;
     }
-    if (auto opened = front_listener_.open(settings_.front_address); !opened) {
+    if (auto opened = front_.open(settings_.front_address); !opened) {
         return opened;
     }
     if (!settings_.metrics_address.empty()) {
@@ -162,23 +159,17 @@
 
 http_answer gateway_node::answer_metrics()
 {
-    const gateway_counts counts{servers_.connects(), connections_.size(), peers_.live_nodes(),
-                                store_reader_.configuration_version(), ready()};
+    const gateway_counts counts{servers_.connects(), front_.size(), peers_.live_nodes(),
+                                core_.routes().version(), ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
 // Callers.
 
-void gateway_node::accept_caller(ACE_SOCK_Stream& accepted)
+relay::front_limits gateway_node::limits() const
 {
     const auto& config = core_.routes().config();
-    const relay::front_limits limits = config ? config->limits : relay::front_limits{};
-    auto fresh = std::make_unique<caller_connection>(
-        reactor_, *this, reader_limits{limits.header_bytes, limits.body_bytes}, io::monotonic_now());
-    if (fresh->accept(accepted)) {
-        caller_connection* key = fresh.get();
-        connections_.emplace(key, std::move(fresh));
-    }
+    return config ? config->limits : relay::front_limits{};
 }
 
 void gateway_node::request_arrived(caller_connection& from, http_request request)
@@ -208,10 +199,16 @@
         const instant now = io::monotonic_now();
         run(core_.on_caller_gone(closed.number, now), now);
     }
-    const auto found = connections_.find(&closed);
-    if (found != connections_.end()) {
-        closed_.push_back(std::move(found->second));
-        connections_.erase(found);
+}
+
+void gateway_node::close_idle(instant now)
+{
+    const relay::front_limits allowed = limits();
+    for (caller_connection* connection : front_.connections()) {
+        connection->check_time(allowed, now);
+        if (stopping_ && now - stop_began_ > balancer_leaves && connection->is_open()) {
+            connection->close_if_idle();
+        }
     }
 }
 
@@ -380,7 +377,7 @@
                                          "prompt not read: status " + std::to_string(facts.status), now);
     } else if (facts.status < first_failure && !from.genuine_success()) {
         effects = core_.on_failure(number, relay::attempt_failure::lost, "answer without proof", now);
-    } else if (is_promise(facts.status)) {
+    } else if (promises_not_run(facts.status)) {
         effects = core_.on_failure(number, relay::attempt_failure::lost,
                                    "unproven status " + std::to_string(facts.status), now);
     } else {
@@ -421,8 +418,7 @@
 void gateway_node::tell_peers(instant now)
 {
     if (peers_.due(now)) {
-        peers_.tell(core_.engines(), store_reader_.configuration_version(), store_reader_.statement(now),
-                    now);
+        peers_.tell(core_.engines(), core_.routes().version(), store_reader_.statement(now), now);
     }
 }
 
@@ -461,24 +457,13 @@
     run(core_.on_tick(now), now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
-        const auto& config = core_.routes().config();
-        const relay::front_limits limits = config ? config->limits : relay::front_limits{};
-        std::vector<caller_connection*> open;
-        for (const auto& [connection, owner] : connections_) {
-            open.push_back(connection);
-        }
-        for (caller_connection* connection : open) {
-            connection->check_time(limits, now);
-            if (stopping_ && now - stop_began_ > balancer_leaves && connection->is_open()) {
-                connection->close_if_idle();
-            }
-        }
+        close_idle(now);
     }
     if (core_.ready() != was_ready_) {
         was_ready_ = core_.ready();
         io::log_event(io::log_level::info, "readiness_changed", {{"ready", was_ready_ ? "true" : "false"}});
     }
-    closed_.clear();
+    front_.on_tick();
     retired_.clear();
     ready_.on_tick();
     metrics_server_.on_tick();
@@ -512,7 +497,7 @@
     if (!stopping_) {
         return false;
     }
-    const bool idle = core_.open_requests() == 0 && connections_.empty();
+    const bool idle = core_.open_requests() == 0 && front_.size() == 0;
     return (idle && now - stop_began_ > balancer_leaves) || now - stop_began_ > settings_.grace - stop_margin;
 }
 
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -1,12 +1,12 @@
 #ifndef CURRANTSPAR_GATEWAY_GATEWAY_NODE_HPP
 #define CURRANTSPAR_GATEWAY_GATEWAY_NODE_HPP
 
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "caller_server.hpp"
 #include "currantspar/gateway/caller_connection.hpp"
 #include "currantspar/gateway/event_splitter.hpp"
 #include "currantspar/gateway/peer_link.hpp"
@@ -14,7 +14,6 @@
 #include "currantspar/gateway/wire_protocol.hpp"
 #include "currantspar/relay/relay_core.hpp"
 #include "gateway_metrics.hpp"
-#include "listener.hpp"
 #include "question_server.hpp"
 #include "role_controller.hpp"
 #include "store_reader.hpp"
@@ -53,7 +52,10 @@
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
     void connection_closed(caller_connection& closed) override;
-    void accept_caller(ACE_SOCK_Stream& accepted);
+    /// What callers may do by the configuration in force.
+    [[nodiscard]] relay::front_limits limits() const;
+    /// Closes connections that are overdue or idle for too long; idle ones at once when the node stops.
+    void close_idle(instant now);
 
     // Effects.
     void run(const relay::relay_effects& effects, instant now);
@@ -88,7 +90,6 @@
     /// Takes a request off the list of open ones; null when its caller has left.
     caller_connection* finish_caller(relay::request_number number, instant now);
 
-    ACE_Reactor& reactor_;
     const wire_protocol& wire_;
     gateway_settings settings_;
     relay::relay_core core_;
@@ -96,7 +97,7 @@
     server_pool store_;
     question_server ready_;
     question_server metrics_server_;
-    listener front_listener_;
+    caller_server front_;
     peer_link peers_;
     role_controller roles_;
     store_reader store_reader_;
@@ -105,8 +106,6 @@
     bool announced_ = false;
     instant announce_due_{};
 
-    std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
-    std::vector<std::unique_ptr<caller_connection>> closed_;
     std::unordered_map<relay::request_number, caller> callers_;
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
     std::vector<std::unique_ptr<attempt>> retired_;
--- a/src/currantspar/gateway/http_message.cpp
+++ b/src/currantspar/gateway/http_message.cpp
@@ -17,6 +17,8 @@
     "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",  "Content-Length",
     "Expect"};
 
+constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
+
 std::string_view trimmed(std::string_view text)
 {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -35,6 +37,11 @@
 
 } // namespace
 
+bool promises_not_run(int status)
+{
+    return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) != not_run_statuses.end();
+}
+
 bool same_name(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -128,6 +128,16 @@
     BOOST_TEST(!has_token(fields, "Connection", "x"));
 }
 
+BOOST_AUTO_TEST_CASE(only_four_statuses_promise_that_a_request_has_not_run)
+{
+    for (const int status : {408, 421, 429, 503}) {
+        BOOST_TEST(promises_not_run(status));
+    }
+    for (const int status : {200, 400, 404, 409, 500, 502, 504}) {
+        BOOST_TEST(!promises_not_run(status));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(digests_survive_the_wire_and_garbage_does_not)
 {
     load_digest digest{"10.0.0.1:7380",     5, true, {{17, {120, 3, 51000}}}, {{17, 99}}, 8,
--- a/src/currantspar/gateway/store_reader.cpp
+++ b/src/currantspar/gateway/store_reader.cpp
@@ -158,12 +158,6 @@
     servers_->set_idle(!reads);
 }
 
-std::uint64_t store_reader::configuration_version() const
-{
-    const auto& config = core_.routes().config();
-    return config ? config->version : 0;
-}
-
 void store_reader::on_digest(const load_digest& digest, instant now)
 {
     turn_.on_node(digest.sender, digest.data_centre);
@@ -175,7 +169,7 @@
 
 void store_reader::hasten_configuration(const load_digest& digest, instant now)
 {
-    const std::uint64_t own = configuration_version();
+    const std::uint64_t own = core_.routes().version();
     // An answer that arrives already isn't given up: a long configuration would never come in whole.
     if (digest.configuration <= own || configuration_->receiving()) {
         return;
@@ -287,15 +281,7 @@
 
 void store_reader::apply(const relay::directory_change& change, std::string_view source, instant now)
 {
-    relay::server_directory& directory = core_.directory();
-    const relay::server_entry* before = directory.find(change.id);
-    const bool restarted =
-        before != nullptr && change.entry && change.entry->started_ms != before->started_ms;
-    const relay::entry_change effect =
-        change.entry ? directory.put(*change.entry, now) : directory.remove(change.id, now);
-    if (restarted || (!change.entry && effect == relay::entry_change::closed)) {
-        core_.engines().forget_engine(change.id);
-    }
+    const relay::entry_change effect = core_.on_server_change(change, now);
     if (change.entry) {
         entry_read_(*change.entry);
     }
--- a/src/currantspar/gateway/store_reader.hpp
+++ b/src/currantspar/gateway/store_reader.hpp
@@ -35,8 +35,6 @@
     void on_digest(const load_digest& digest, instant now);
     /// What to tell the peers of the servers, when this node reads them and it is time to.
     [[nodiscard]] std::optional<relay::directory_statement> statement(instant now);
-    /// The version in force; 0: none.
-    [[nodiscard]] std::uint64_t configuration_version() const;
     /// True while this node reads the store itself.
     [[nodiscard]] bool reading() const { return reading_; }
 
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -83,6 +83,19 @@
     return routes_.adopt(std::move(config));
 }
 
+entry_change relay_core::on_server_change(const directory_change& change, instant now)
+{
+    const server_entry* before = directory_.find(change.id);
+    const bool restarted =
+        before != nullptr && change.entry && change.entry->started_ms != before->started_ms;
+    const entry_change effect =
+        change.entry ? directory_.put(*change.entry, now) : directory_.remove(change.id, now);
+    if (restarted || (!change.entry && effect == entry_change::closed)) {
+        engines_.forget_engine(change.id);
+    }
+    return effect;
+}
+
 std::vector<server_entry> relay_core::answering_servers(const service_id& service, instant now) const
 {
     const std::vector<server_entry>& open = directory_.open_servers(service);
@@ -98,6 +111,14 @@
     return routes_.config() != nullptr && directory_.size() > 0;
 }
 
+std::set<backend_id> relay_core::unfit(const request& req, const std::vector<server_entry>& servers,
+                                       instant now) const
+{
+    std::set<backend_id> result = circuit_.avoided(servers, now);
+    result.insert(req.excluded.begin(), req.excluded.end());
+    return result;
+}
+
 relay_core::request_map::iterator relay_core::find_attempt(attempt_id attempt)
 {
     const auto found = attempts_.find(attempt);
@@ -113,11 +134,10 @@
         out.push_back(reply{number, unknown ? status_not_found : status_unavailable,
                             unknown ? duration{} : options_.no_server_retry,
                             unknown ? "no_such_route" : "no_configuration"});
-        out.push_back(log_decision{
-            "request_rejected",
-            facts.id,
-            {{"reason", unknown ? "no_such_route" : "no_configuration"},
-             {"config_version", routes_.config() ? std::to_string(routes_.config()->version) : "0"}}});
+        out.push_back(log_decision{"request_rejected",
+                                   facts.id,
+                                   {{"reason", unknown ? "no_such_route" : "no_configuration"},
+                                    {"config_version", std::to_string(routes_.version())}}});
         return out;
     }
     request req;
@@ -205,8 +225,7 @@
 {
     request& req = it->second;
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
-    std::set<backend_id> excluded = circuit_.avoided(servers, now);
-    excluded.insert(req.excluded.begin(), req.excluded.end());
+    std::set<backend_id> excluded = unfit(req, servers, now);
     for (const auto& [engine, until] : lapsing_) {
         if (now < until) {
             excluded.insert(engine);
@@ -324,8 +343,7 @@
         return false;
     }
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
-    std::set<backend_id> excluded = circuit_.avoided(servers, now);
-    excluded.insert(req.excluded.begin(), req.excluded.end());
+    const std::set<backend_id> excluded = unfit(req, servers, now);
     const server_entry* decoder = engines_.least_busy_decoder(servers, excluded);
     const server_entry* reader = directory_.find(req.where.reader);
     if (decoder == nullptr || reader == nullptr) {
