Keep the ports of tests reserved until their listeners take them

Cause: the gateway's tests chose a free port by binding and closing it. A connection of the same test or of one that runs beside it could get the port before the node listened on it; then the node could not start.

Change: free_port keeps the socket that found the port bound, with reuse of the address allowed, so that only a listener that allows it too can take the port; the gateway's tests use the same function.

Open: the demo's own installation still chooses its ports the old way.

--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -76,7 +76,7 @@
 /// Sends one datagram to `IP:port`.
 void send_datagram(const std::string& address, const std::string& bytes);
 
-/// A port that was free a moment ago, as `127.0.0.1:port`.
+/// `127.0.0.1:port` with a port that stays reserved for the test's own listener.
 std::string free_address();
 
 } // namespace currantspar::gateway::test
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "currantspar/io/address.hpp"
+#include "currantspar/io/test_socket.hpp"
 
 // The scripted peers of the gateway's tests; built into the test program only.
 namespace currantspar::gateway::test {
@@ -174,10 +175,7 @@
 
 std::string free_address()
 {
-    sockaddr_in local{};
-    const int listener = open_listener(local);
-    ::close(listener);
-    return to_text(local);
+    return "127.0.0.1:" + std::to_string(io::free_port());
 }
 
 } // namespace currantspar::gateway::test
--- a/src/currantspar/io/test_socket.hpp
+++ b/src/currantspar/io/test_socket.hpp
@@ -5,7 +5,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,18 +21,46 @@
 
 namespace currantspar::io {
 
-/// A port of the loopback interface that was free a moment ago.
+/// A socket on a loopback port of the system's choice that takes no connections.
+class reserved_port
+{
+public:
+    reserved_port() : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        const int on = 1;
+        ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        static_cast<void>(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size));
+        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+        port_ = ntohs(address.sin_port);
+    }
+    reserved_port(const reserved_port&) = delete;
+    reserved_port& operator=(const reserved_port&) = delete;
+    ~reserved_port() { ::close(socket_); }
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+
+private:
+    int socket_;
+    std::uint16_t port_ = 0;
+};
+
+/// A free port of the loopback interface. It stays reserved, so that no connection and no listener of another
+/// test gets it before the listener it is meant for, which must allow the reuse of its address. The oldest
+/// reservations are given up. Thread safe.
 [[nodiscard]] inline std::uint16_t free_port()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    static_cast<void>(::bind(socket, reinterpret_cast<sockaddr*>(&address), size));
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(socket);
-    return ntohs(address.sin_port);
+    static constexpr std::size_t held_most = 128;
+    static std::mutex mutex;
+    static std::deque<reserved_port> held;
+    const std::lock_guard lock(mutex);
+    if (held.size() >= held_most) {
+        held.pop_front();
+    }
+    return held.emplace_back().port();
 }
 
 /// A caller that writes exactly the bytes it is told to, on a loopback connection.
