Take a listing with the effects of its changes, and move the lease with the store

Now a listing is taken as the changes that lead to it. The test fails with the old call (13,300 cached tokens, 0 due). - A node whose reloaded settings name another store went on to ask for the lease of role changes at the one it had left. The test fails without the new line.

--- a/include/currantspar/relay/directory_feed.hpp
+++ b/include/currantspar/relay/directory_feed.hpp
@@ -7,18 +7,10 @@
 #include <optional>
 #include <vector>
 
-#include "currantspar/relay/model.hpp"
+#include "currantspar/relay/server_directory.hpp"
 
 namespace currantspar::relay {
 
-/// One change of the servers' list, as it stands in the shared store.
-struct directory_change
-{
-    std::uint64_t offset = 0; ///< of its record
-    backend_id id;
-    std::optional<server_entry> entry; ///< nothing: the server's entry was removed
-};
-
 /// What a node that reads the shared store tells the others of the servers' list.
 struct directory_statement
 {
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -65,6 +65,8 @@
     bool on_config(std::shared_ptr<const relay_config> config);
     /// Takes a change of the servers over; an engine that restarted or left has nothing cached any more.
     entry_change on_server_change(const directory_change& change, instant now);
+    /// Takes a whole listing of the servers over, with the same effects as its changes one by one.
+    void on_listing(const std::vector<server_entry>& listed, instant now);
     [[nodiscard]] server_directory& directory() { return directory_; }
     [[nodiscard]] const server_directory& directory() const { return directory_; }
     [[nodiscard]] const routing_table& routes() const { return routes_; }
--- a/include/currantspar/relay/server_directory.hpp
+++ b/include/currantspar/relay/server_directory.hpp
@@ -1,7 +1,9 @@
 #ifndef CURRANTSPAR_RELAY_SERVER_DIRECTORY_HPP
 #define CURRANTSPAR_RELAY_SERVER_DIRECTORY_HPP
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -25,6 +27,14 @@
     closed, ///< takes no new work from now on
 };
 
+/// One change of the servers' list, as it stands in the shared store.
+struct directory_change
+{
+    std::uint64_t offset = 0; ///< of its record
+    backend_id id;
+    std::optional<server_entry> entry; ///< nothing: the server's entry was removed
+};
+
 /// The servers of all services as the shared store lists them. Not thread safe.
 class server_directory
 {
@@ -35,6 +45,10 @@
     entry_change put(const server_entry& entry, instant now);
     /// A server's entry was removed. Around an outage the server is used for a little longer.
     entry_change remove(const backend_id& id, instant now);
+    entry_change apply(const directory_change& change, instant now);
+    /// What makes the directory a whole listing: an entry for each server in it, a removal for each other
+    /// one.
+    [[nodiscard]] std::vector<directory_change> changes_to(const std::vector<server_entry>& listed) const;
     /// Takes a whole listing over: servers that it leaves out are removed.
     void replace(const std::vector<server_entry>& listed, instant now);
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -483,6 +483,7 @@
     if (fresh.store_address != settings_.store_address) {
         settings_.store_address = fresh.store_address;
         store_reader_.open(settings_.store_address);
+        roles_.use_store(settings_.store_address);
     }
     io::log_event(io::log_level::info, "settings_reloaded", {{"store", settings_.store_address}});
 }
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -134,7 +134,8 @@
 struct running_node
 {
     explicit running_node(std::vector<scripted_server::handler> handlers,
-                          scripted_server::handler store_handler = answer_store)
+                          scripted_server::handler store_handler = answer_store,
+                          const std::function<void(fake_protocol&)>& prepare = {})
         : store(std::move(store_handler))
     {
         auto config = std::make_shared<relay::relay_config>();
@@ -157,6 +158,9 @@
         wire.settings.store_address = store.address();
         wire.settings.peer_address = test::free_address();
         wire.settings.retry_reserve = 1000;
+        if (prepare) {
+            prepare(wire);
+        }
         node = std::make_unique<gateway_node>(reactor, wire, wire.settings);
         BOOST_REQUIRE(node->start().has_value());
         BOOST_REQUIRE(turn([this] { return node->ready(); }));
@@ -476,6 +480,41 @@
     BOOST_TEST(run.turn([&] { return reads.load() > before; }));
 }
 
+/// Twelve engines that all make answers, so that roles are to be ordered under the store's lease.
+void add_engines(fake_protocol& wire)
+{
+    auto config = std::make_shared<relay::relay_config>(*wire.config);
+    relay::relayed_service service;
+    service.id = service_id("model");
+    service.engines = relay::engine_traits{64, 450000, 163840, 1600000.0, std::chrono::seconds(5)};
+    config->services.push_back(service);
+    wire.config = config;
+    for (int index = 1; index <= 12; ++index) {
+        relay::server_entry engine;
+        engine.id = backend_id("engine-" + std::to_string(index));
+        engine.service = service.id;
+        engine.address = "127.0.0.1:9";
+        engine.slots = 6;
+        engine.role = config::engine_role::decode;
+        wire.servers.push_back(engine);
+    }
+}
+
+/// The fault: a node that was told of another store went on to ask for its lease at the one it had left.
+BOOST_AUTO_TEST_CASE(a_node_that_reloads_its_settings_asks_the_new_store_for_its_lease)
+{
+    std::atomic<unsigned> asked = 0;
+    scripted_server other([&asked](const http_request& request) {
+        asked += request.target == "/newest/3" ? 1 : 0;
+        return running_node::answer_store(request);
+    });
+    running_node run({echo}, running_node::answer_store, add_engines);
+    gateway_settings fresh = run.wire.settings;
+    fresh.store_address = other.address();
+    run.node->reload(fresh);
+    BOOST_TEST(run.turn([&] { return asked.load() > 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_node_is_not_ready_and_still_answers)
 {
     running_node run({echo});
--- a/src/currantspar/gateway/role_controller.hpp
+++ b/src/currantspar/gateway/role_controller.hpp
@@ -36,6 +36,8 @@
                     relay::relay_core& core, std::string node, std::string store_address,
                     role_controller_options options = {});
 
+    /// The lease is kept at this store from now on.
+    void use_store(const std::string& address) { store_address_ = address; }
     /// `place`: how many live nodes come before this one in claiming.
     void on_tick(std::size_t place, instant now);
     /// An engine's entry tells its role: a change that was ordered may be done.
--- a/src/currantspar/gateway/store_reader.cpp
+++ b/src/currantspar/gateway/store_reader.cpp
@@ -257,7 +257,7 @@
         listed.push_back(*entry);
     }
     feed_.on_listed(listed, servers_->next());
-    core_.directory().replace(listed, now);
+    core_.on_listing(listed, now);
     io::log_event(io::log_level::info, "servers_listed",
                   {{"count", std::to_string(listed.size())}, {"to", std::to_string(feed_.next())}});
 }
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -88,14 +88,20 @@
     const server_entry* before = directory_.find(change.id);
     const bool restarted =
         before != nullptr && change.entry && change.entry->started_ms != before->started_ms;
-    const entry_change effect =
-        change.entry ? directory_.put(*change.entry, now) : directory_.remove(change.id, now);
+    const entry_change effect = directory_.apply(change, now);
     if (restarted || (!change.entry && effect == entry_change::closed)) {
         engines_.forget_engine(change.id);
     }
     return effect;
 }
 
+void relay_core::on_listing(const std::vector<server_entry>& listed, instant now)
+{
+    for (const directory_change& change : directory_.changes_to(listed)) {
+        on_server_change(change, now);
+    }
+}
+
 std::vector<server_entry> relay_core::answering_servers(const service_id& service, instant now) const
 {
     const std::vector<server_entry>& open = directory_.open_servers(service);
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -189,6 +189,43 @@
     }
 }
 
+/// The fault: what an engine had cached was believed although a listing, read after an outage of the store,
+/// told that it had restarted or left.
+BOOST_AUTO_TEST_CASE(a_listing_that_tells_of_a_restarted_engine_ends_what_it_had_cached)
+{
+    served_node node;
+    std::vector<server_entry> listed;
+    for (const auto& [id, entry] : node.core.directory().entries()) {
+        listed.push_back(entry);
+    }
+    const request_facts prompt = test::make_prompt("r", 7, 13300, 3700);
+    const engine_traits traits = *test::make_config()->services[1].engines;
+    const auto cached = [&] {
+        return node.core.engines()
+            .choose(prompt, traits, node.core.directory().open_servers(service_id("llm")), {}, at(1.2))
+            ->cached_tokens;
+    };
+    const std::vector<cached_part> parts = {{engine_number(backend_id("reader-1")), 7}};
+    node.core.engines().on_peer_parts(parts, at(1));
+    node.core.on_listing(listed, at(1));
+    BOOST_TEST(cached() == 13300U);
+
+    const auto reader = std::find_if(listed.begin(), listed.end(), [](const server_entry& entry) {
+        return entry.id == backend_id("reader-1");
+    });
+    reader->started_ms += 1;
+    node.core.on_listing(listed, at(1.1));
+    BOOST_TEST(cached() == 0U);
+
+    node.core.engines().on_peer_parts(parts, at(1.1));
+    const server_entry left = *reader;
+    listed.erase(reader);
+    node.core.on_listing(listed, at(1.2));
+    listed.push_back(left);
+    node.core.on_listing(listed, at(1.2));
+    BOOST_TEST(cached() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_prompt_is_read_at_one_engine_and_taken_over_by_another)
 {
     served_node node;
--- a/src/currantspar/relay/server_directory.cpp
+++ b/src/currantspar/relay/server_directory.cpp
@@ -35,21 +35,32 @@
     return entry_change::closed;
 }
 
-void server_directory::replace(const std::vector<server_entry>& listed, instant now)
+std::vector<directory_change> server_directory::changes_to(const std::vector<server_entry>& listed) const
 {
+    std::vector<directory_change> changes;
+    changes.reserve(listed.size() + entries_.size());
     std::set<backend_id> present;
     for (const server_entry& entry : listed) {
         present.insert(entry.id);
-        put(entry, now);
+        changes.push_back({0, entry.id, entry});
     }
-    std::vector<backend_id> absent;
     for (const auto& [id, entry] : entries_) {
         if (!present.contains(id)) {
-            absent.push_back(id);
+            changes.push_back({0, id, std::nullopt});
         }
     }
-    for (const backend_id& id : absent) {
-        remove(id, now);
+    return changes;
+}
+
+entry_change server_directory::apply(const directory_change& change, instant now)
+{
+    return change.entry ? put(*change.entry, now) : remove(change.id, now);
+}
+
+void server_directory::replace(const std::vector<server_entry>& listed, instant now)
+{
+    for (const directory_change& change : changes_to(listed)) {
+        apply(change, now);
     }
 }
 
