--- a/src/currantspar/cli/demo_installation.cpp
+++ b/src/currantspar/cli/demo_installation.cpp
@@ -1,10 +1,7 @@
 #include "demo_installation.hpp"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "currantspar/base/hash.hpp"
+#include "currantspar/io/reserved_port.hpp"
 
 namespace currantspar::cli {
 
@@ -31,20 +28,6 @@
     return std::string(name) + "-" + std::to_string(index + 1);
 }
 
-/// A port that was free a moment ago: a node's name is its peer address and must be known before it starts.
-std::string free_address()
-{
-    const int socket_fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address); // NOLINT: the sockets' own convention
-    const bool bound = ::bind(socket_fd, generic, size) == 0 && ::getsockname(socket_fd, generic, &size) == 0;
-    ::close(socket_fd);
-    return "127.0.0.1:" + std::to_string(bound ? ntohs(address.sin_port) : 0);
-}
-
 standin::engine_model_options engine_options(std::size_t index)
 {
     standin::engine_model_options options;
@@ -124,7 +107,9 @@
         settings.data_centre = data_centre_id(node_data_centres.at(i));
         settings.caller_address = "127.0.0.1:0";
         settings.admin_address = "127.0.0.1:0";
-        settings.peer_address = free_address();
+        // A node's name is its peer address and must be known before it starts.
+        const io::reserved_port peer_port;
+        settings.peer_address = "127.0.0.1:" + std::to_string(peer_port.port());
         settings.log_address = log_.address();
         settings.vm_list_address = vm_list_.address();
         settings.balancer_drain = std::chrono::milliseconds(200);
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -27,7 +27,7 @@
     local = {};
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&local), sizeof local);
+    static_cast<void>(::bind(listener, reinterpret_cast<sockaddr*>(&local), sizeof local));
     socklen_t size = sizeof local;
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&local), &size);
     return listener;
--- a/src/currantspar/io/test_socket_test.cpp
+++ b/src/currantspar/io/reserved_port_test.cpp
@@ -1,6 +1,12 @@
-#include "test_socket.hpp"
+#include "currantspar/io/reserved_port.hpp"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "test_socket.hpp"
 
 namespace currantspar::io {
 
@@ -24,7 +30,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(test_socket_tests)
+BOOST_AUTO_TEST_SUITE(reserved_port_tests)
 
 /// The failure: a test's node could not listen, since a connection of another test had got its port
 /// meanwhile.
@@ -36,6 +42,17 @@
     BOOST_TEST(free_port() != port);
 }
 
+BOOST_AUTO_TEST_CASE(a_port_is_given_up_with_its_reservation)
+{
+    std::uint16_t port = 0;
+    {
+        const reserved_port reserved;
+        port = reserved.port();
+        BOOST_TEST(!can_listen(port, false));
+    }
+    BOOST_TEST(can_listen(port, false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::io
--- a/src/currantspar/io/test_socket.hpp
+++ b/src/currantspar/io/test_socket.hpp
@@ -19,34 +19,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace currantspar::io {
-
-/// A socket on a loopback port of the system's choice that takes no connections.
-class reserved_port
-{
-public:
-    reserved_port() : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        const int on = 1;
-        ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        static_cast<void>(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size));
-        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
-        port_ = ntohs(address.sin_port);
-    }
-    reserved_port(const reserved_port&) = delete;
-    reserved_port& operator=(const reserved_port&) = delete;
-    ~reserved_port() { ::close(socket_); }
+#include "currantspar/io/reserved_port.hpp"
 
-    [[nodiscard]] std::uint16_t port() const { return port_; }
-
-private:
-    int socket_;
-    std::uint16_t port_ = 0;
-};
+namespace currantspar::io {
 
 /// A free port of the loopback interface. It stays reserved, so that no connection and no listener of another
 /// test gets it before the listener it is meant for, which must allow the reuse of its address. The oldest
