Give no work to an engine that nothing is heard of

A read of a report whose answer was lost, or that was sent into a partition, stayed open for read_timeout, 10 s, and kept the node from asking again; a node that heard nothing asked by itself only after two missed digests (5 to 9 s with 14 nodes, whose digests are 3.5 s apart); and nothing closed an engine for its silence, so that a node whose partition healed sent work before it had heard anything. Ruled out: the collector's notice (sent at once; lost or cut off in these histories), the checker (the engine was reachable and had said so for longer than its limit and the reports' lag).

Change: a read is given up after 1 s; a node asks once one digest is missing; an engine is closed when it was asked in vain and not heard of for 2 s, or not heard of for a digest, a read and 1.5 s; its next report opens it at once.

--- a/bench/checks.cmake
+++ b/bench/checks.cmake
@@ -20,6 +20,15 @@
 # A bounded part of check_promises, and a run for each deliberate fault with the promise that it breaks.
 add_test(NAME check_promises COMMAND check_promises --seeds 11 --threads 2)
 set_tests_properties(check_promises PROPERTIES TIMEOUT 300)
+# Histories that once broke a promise: a leaving engine got work from a node that had not heard of it.
+foreach(seed 59 62)
+  add_test(NAME check_promises_abay_${seed}
+           COMMAND check_promises --deployment abay --seeds 1 --first-seed ${seed})
+endforeach()
+foreach(seed 7340021 7340093 7340096)
+  add_test(NAME check_promises_kandy_${seed}
+           COMMAND check_promises --deployment kandy --nodes 14 --faults all --seeds 1 --first-seed ${seed})
+endforeach()
 function(currantspar_promise_caught fault promise seeds)
   add_test(NAME check_promises_catches_${fault}
            COMMAND check_promises --deployment abay --seeds ${seeds} --threads 2 --fault-injected ${fault})
--- a/include/currantspar/core/reports.hpp
+++ b/include/currantspar/core/reports.hpp
@@ -20,7 +20,8 @@
         instant due{};
         bool open = false;
         instant opened{};
-        instant last{};
+        instant last{};          ///< when it was heard of, also from another node
+        bool unanswered = false; ///< this node asked it in vain since then
         std::uint64_t next_cache_sequence = 0;
         policy::engine_condition condition = policy::engine_condition::serving; ///< as reported last
     };
@@ -43,6 +44,8 @@
 void on_cache_events(step& run, const cache_events_received& happened);
 void on_digest(step& run, const peer_received& from, const load_digest& digest);
 void on_tick(step& run);
+/// True for an engine of which this node has heard nothing for so long that it must have asked it in vain.
+[[nodiscard]] bool silent(const step& run, const engine_id& engine);
 /// Tells peers at once which engines got work from this node or finished it, within a budget of bytes; what
 /// doesn't fit waits for the next call or the next digest.
 void share_news(step& run);
--- a/include/currantspar/core/routing.hpp
+++ b/include/currantspar/core/routing.hpp
@@ -42,7 +42,6 @@
     policy::dispatcher dispatcher;
     std::map<pool_id, received_view> views;
     fleet_index index;
-    std::map<pool_id, bool> routed;   ///< whether this node may send work to the pool's engines at all
     std::set<attempt_id> taken_in;    ///< attempts that their engine has accepted
     std::map<pool_id, instant> asked; ///< when this node asked the pool's controller for a view
     instant review_due{};
--- a/src/currantspar/core/generations_test.cpp
+++ b/src/currantspar/core/generations_test.cpp
@@ -131,6 +131,7 @@
     const auto effects = node.tick_after(1100ms);
     BOOST_TEST(!one<cancel_attempt>(effects).cancel_at_engine);
     BOOST_TEST(one<start_generation>(effects).resume);
+    node.on_report("e2");
     const auto moved = node.tick_after(2100ms);
     BOOST_TEST(one<cancel_attempt>(moved).cancel_at_engine);
     BOOST_TEST(!one<start_generation>(moved).resume);
@@ -148,6 +149,8 @@
         if (next.empty()) {
             effects = node.tick_after(50ms);
             passed += 50ms;
+            node.on_report("e1");
+            node.on_report("e2");
         } else {
             effects = node.on(end_of(next.front(), attempt_result::broken));
         }
@@ -302,6 +305,28 @@
     BOOST_TEST(only<start_generation>(node.on(chat_request("r1"))).empty());
 }
 
+/// The rule that failed: a node whose partition had just healed sent work to an engine that had said 18 s
+/// before that it leaves, because the last report it had taken in was older still.
+BOOST_AUTO_TEST_CASE(an_engine_that_was_silent_gets_no_work_before_it_reports_again)
+{
+    serving_node node;
+    node.tick_after(10s);
+    BOOST_TEST((one<reply_end>(node.on(chat_request("r1"))).outcome == request_outcome::not_run));
+    node.on_report("e2");
+    BOOST_TEST((one<start_generation>(node.on(chat_request("r2"))).engine == engine_id("e2")));
+}
+
+/// The load: answers of engines get lost, and a read that is waited for keeps the node from asking again.
+BOOST_AUTO_TEST_CASE(a_report_that_does_not_come_is_asked_for_again_within_two_seconds)
+{
+    serving_node node;
+    node.on(tick{});
+    const auto asked = only<read_report>(node.tick_after(1600ms));
+    BOOST_TEST(!asked.empty());
+    BOOST_TEST(only<read_report>(node.tick_after(500ms)).empty());
+    BOOST_TEST(!only<read_report>(node.tick_after(1500ms)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/currantspar/core/golden_test.cpp
+++ b/src/currantspar/core/golden_test.cpp
@@ -123,6 +123,7 @@
     serving_node node;
     one<start_generation>(node.on(chat_request("r1")));
     one<start_generation>(node.tick_after(1100ms));
+    node.on_report("e2");
     const auto moved = one<start_generation>(node.tick_after(1100ms));
     node.on(attempt_accepted{moved.attempt, {}});
     node.on(tokens_of(moved, 0, {"a"}));
--- a/src/currantspar/core/reports.cpp
+++ b/src/currantspar/core/reports.cpp
@@ -12,8 +12,12 @@
 
 /// Between two looks at which node reads which engine.
 constexpr duration assign_every = std::chrono::seconds(1);
-/// A node that hasn't heard of an engine for so long reads it itself.
-constexpr duration missed_after = std::chrono::milliseconds(1500);
+/// A node that hasn't heard of an engine for so long, besides the time between two digests, reads it itself.
+constexpr duration missed_after = std::chrono::milliseconds(500);
+/// An engine that was asked in vain and hasn't been heard of for so long counts as silent.
+constexpr duration doubted_after = std::chrono::seconds(2);
+/// An answer that didn't come by then never will; engines answer within milliseconds.
+constexpr duration report_timeout = std::chrono::seconds(1);
 /// A digest's size on the wire, for the budget: its head, and each entry.
 constexpr double digest_bytes = 200;
 constexpr double entry_bytes = 110;
@@ -52,12 +56,17 @@
     return std::max(options.report_every, from_seconds(bytes / options.collect_bytes_per_second));
 }
 
+/// For how long an engine of which nothing is wrong may not be heard of.
+duration silence_expected(const step& run)
+{
+    return missed_after + run.state.reports.digest_interval + collect_interval(run);
+}
+
 bool missed(const step& run, const engine_id& engine)
 {
     const auto known = run.state.reports.engines.find(engine);
-    const instant last = known == run.state.reports.engines.end() ? instant() : known->second.last;
-    const report_state& state = run.state.reports;
-    return run.now - last > missed_after + state.digest_interval * 2 + collect_interval(run);
+    const bool heard = known != run.state.reports.engines.end();
+    return !heard || run.now - known->second.last > silence_expected(run);
 }
 
 /// Chooses the engines that this node reads.
@@ -88,7 +97,8 @@
 void poll(step& run, const engine_id& engine)
 {
     report_state::polled& entry = run.state.reports.engines[engine];
-    const bool lost = run.now - entry.opened >= run.state.options.read_timeout;
+    const bool lost = entry.open && run.now - entry.opened >= report_timeout;
+    entry.unanswered = entry.unanswered || lost;
     const config::engine_spec* spec = routing::find_engine(run.state, engine);
     if (spec == nullptr || (entry.open && !lost) || run.now < entry.due) {
         return;
@@ -100,11 +110,12 @@
     run.emit(read_cache_events{spec->id, spec->address, entry.next_cache_sequence});
 }
 
-void close_poll(step& run, const engine_id& engine)
+void close_poll(step& run, const engine_id& engine, bool answered)
 {
     const auto found = run.state.reports.engines.find(engine);
     if (found != run.state.reports.engines.end()) {
         found->second.open = false;
+        found->second.unanswered = !answered;
     }
 }
 
@@ -114,6 +125,7 @@
     report_state::polled& entry = run.state.reports.engines[report.engine];
     entry.condition = report.condition;
     entry.last = run.now;
+    entry.unanswered = false;
     policy::engine_report seen = report;
     if (run.state.options.fault == injected_fault::leaving_ignored) {
         seen.condition = policy::engine_condition::serving;
@@ -175,6 +187,16 @@
 
 } // namespace
 
+bool silent(const step& run, const engine_id& engine)
+{
+    const auto known = run.state.reports.engines.find(engine);
+    if (known == run.state.reports.engines.end()) {
+        return true;
+    }
+    const duration unheard = run.now - known->second.last;
+    return unheard > (known->second.unanswered ? doubted_after : silence_expected(run) + report_timeout);
+}
+
 void share_news(step& run)
 {
     policy::dispatcher& dispatcher = run.state.routing.dispatcher;
@@ -200,7 +222,7 @@
 
 void on_report(step& run, const report_received& happened)
 {
-    close_poll(run, happened.report.engine);
+    close_poll(run, happened.report.engine, true);
     const auto known = run.state.reports.engines.find(happened.report.engine);
     const bool urgent =
         known == run.state.reports.engines.end() || known->second.condition != happened.report.condition;
@@ -215,7 +237,7 @@
 
 void on_report_failed(step& run, const report_failed& happened)
 {
-    close_poll(run, happened.engine);
+    close_poll(run, happened.engine, false);
 }
 
 void on_cache_events(step& run, const cache_events_received& happened)
--- a/src/currantspar/core/routing_views.cpp
+++ b/src/currantspar/core/routing_views.cpp
@@ -51,27 +51,31 @@
     return listed != instant() && run.now - listed >= state.options.new_node_settles;
 }
 
-/// An engine that hasn't reported to this process may be leaving. One that said so stays closed however old
-/// its report gets.
-bool admits_work(const node_state& state, const engine_id& engine)
+/// An engine that hasn't reported to this process lately may be leaving. One that said so stays closed
+/// however old its report gets.
+bool admits_work(const step& run, const engine_id& engine)
 {
-    const policy::engine_report* report = state.routing.dispatcher.report(engine);
-    return report != nullptr && report->condition != policy::engine_condition::leaving;
+    const policy::engine_report* report = run.state.routing.dispatcher.report(engine);
+    return report != nullptr && report->condition != policy::engine_condition::leaving &&
+           !reports::silent(run, engine);
 }
 
-void open_and_close(step& run, const pool_id& pool)
+void open_or_close(step& run, const pool_id& pool, const engine_id& engine)
 {
     routing_state& state = run.state.routing;
-    const auto engines = state.index.pools.find(pool);
-    if (engines == state.index.pools.end()) {
+    const auto view = state.views.find(pool);
+    const bool closed = view != state.views.end() && view->second.closed.contains(engine);
+    state.dispatcher.set_open(engine, may_route(run, pool) && !closed && admits_work(run, engine));
+}
+
+void open_and_close(step& run, const pool_id& pool)
+{
+    const auto engines = run.state.routing.index.pools.find(pool);
+    if (engines == run.state.routing.index.pools.end()) {
         return;
     }
-    const auto view = state.views.find(pool);
-    const bool routed = may_route(run, pool);
-    state.routed[pool] = routed;
     for (const config::engine_spec* spec : engines->second) {
-        const bool closed = view != state.views.end() && view->second.closed.contains(spec->id);
-        state.dispatcher.set_open(spec->id, routed && !closed && admits_work(run.state, spec->id));
+        open_or_close(run, pool, spec->id);
     }
 }
 
@@ -122,9 +126,7 @@
         if (!reaches(run.state, run.state.options.data_centre, pool.data_centre)) {
             continue;
         }
-        if (may_route(run, pool) != state.routed[pool]) {
-            open_and_close(run, pool);
-        }
+        open_and_close(run, pool);
         ask_for_view(run, pool);
     }
     std::erase_if(state.taken_in,
@@ -152,12 +154,11 @@
 
 void on_report(step& run, const policy::engine_report& report)
 {
-    const bool admitted = admits_work(run.state, report.engine);
     run.state.routing.dispatcher.on_report(report, run.now);
     const auto service = run.state.routing.index.services.find(report.engine);
     const config::engine_spec* spec = find_engine(run.state, report.engine);
-    if (spec != nullptr && admits_work(run.state, report.engine) != admitted) {
-        open_and_close(run, pool_id{service->second->id, spec->data_centre});
+    if (spec != nullptr) {
+        open_or_close(run, pool_id{service->second->id, spec->data_centre}, report.engine);
     }
 }
 
