--- a/include/currantspar/core/reports.hpp
+++ b/include/currantspar/core/reports.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "currantspar/core/event.hpp"
@@ -46,6 +47,8 @@
 void on_tick(step& run);
 /// True for an engine of which this node has heard nothing for so long that it must have asked it in vain.
 [[nodiscard]] bool silent(const step& run, const engine_id& engine);
+/// For how long an engine hasn't been heard of and whether it was asked in vain, for the time line.
+[[nodiscard]] std::string silence_text(const step& run, const engine_id& engine);
 /// Tells peers at once which engines got work from this node or finished it, within a budget of bytes; what
 /// doesn't fit waits for the next call or the next digest.
 void share_news(step& run);
--- a/src/currantspar/core/generations_test.cpp
+++ b/src/currantspar/core/generations_test.cpp
@@ -310,9 +310,18 @@
 BOOST_AUTO_TEST_CASE(an_engine_that_was_silent_gets_no_work_before_it_reports_again)
 {
     serving_node node;
-    node.tick_after(10s);
+    const auto kinds = [](const effect_list& effects) {
+        std::vector<std::string> found;
+        for (const add_timeline& added : only<add_timeline>(effects)) {
+            found.push_back(added.entry.kind + " " + added.entry.engine.str());
+        }
+        return found;
+    };
+    const std::vector<std::string> closed = {"engine.silent e1", "engine.silent e2"};
+    BOOST_TEST(kinds(node.tick_after(10s)) == closed);
     BOOST_TEST((one<reply_end>(node.on(chat_request("r1"))).outcome == request_outcome::not_run));
-    node.on_report("e2");
+    const std::vector<std::string> opened = {"engine.heard e2"};
+    BOOST_TEST(kinds(node.on_report("e2")) == opened);
     BOOST_TEST((one<start_generation>(node.on(chat_request("r2"))).engine == engine_id("e2")));
 }
 
--- a/src/currantspar/core/reports.cpp
+++ b/src/currantspar/core/reports.cpp
@@ -197,6 +197,17 @@
     return unheard > (known->second.unanswered ? doubted_after : silence_expected(run) + report_timeout);
 }
 
+std::string silence_text(const step& run, const engine_id& engine)
+{
+    const auto known = run.state.reports.engines.find(engine);
+    if (known == run.state.reports.engines.end()) {
+        return "never_heard";
+    }
+    const auto unheard = std::chrono::duration_cast<std::chrono::milliseconds>(run.now - known->second.last);
+    return "unheard_ms=" + std::to_string(unheard.count()) +
+           (known->second.unanswered ? " asked_in_vain" : "");
+}
+
 void share_news(step& run)
 {
     policy::dispatcher& dispatcher = run.state.routing.dispatcher;
--- a/src/currantspar/core/routing_views.cpp
+++ b/src/currantspar/core/routing_views.cpp
@@ -60,9 +60,31 @@
            !reports::silent(run, engine);
 }
 
+/// Adds to the time line when an engine falls silent or is heard of again.
+void note_silence(step& run, const engine_id& engine)
+{
+    std::set<engine_id>& known = run.state.routing.silent;
+    const bool reported = run.state.routing.dispatcher.report(engine) != nullptr;
+    const bool silent = reported && reports::silent(run, engine);
+    if (silent == known.contains(engine)) {
+        return;
+    }
+    timeline_entry entry;
+    entry.kind = silent ? "engine.silent" : "engine.heard";
+    entry.engine = engine;
+    entry.detail = reports::silence_text(run, engine);
+    run.trace(std::move(entry));
+    if (silent) {
+        known.insert(engine);
+    } else {
+        known.erase(engine);
+    }
+}
+
 void open_or_close(step& run, const pool_id& pool, const engine_id& engine)
 {
     routing_state& state = run.state.routing;
+    note_silence(run, engine);
     const auto view = state.views.find(pool);
     const bool closed = view != state.views.end() && view->second.closed.contains(engine);
     state.dispatcher.set_open(engine, may_route(run, pool) && !closed && admits_work(run, engine));
