--- a/include/currantspar/relay/server_directory.hpp
+++ b/include/currantspar/relay/server_directory.hpp
@@ -45,6 +45,7 @@
     entry_change put(const server_entry& entry, instant now);
     /// A server's entry was removed. Around an outage the server is used for a little longer.
     entry_change remove(const backend_id& id, instant now);
+    /// Takes a change over, an entry or its removal.
     entry_change apply(const directory_change& change, instant now);
     /// What makes the directory a whole listing: an entry for each server in it, a removal for each other
     /// one.
