Ask once whether an engine is silent, and drop the directory's unused replacement

Found on reading the whole change again; behaviour stays. Whether an engine is silent was worked out twice on each report and review, once for the time line and once to admit work: admits_work reads what note_silence has just taken in. server_directory::replace had lost its only caller to relay_core::on_listing and repeated its loop; its test drives changes_to and apply, with the same assertions.

--- a/include/currantspar/relay/server_directory.hpp
+++ b/include/currantspar/relay/server_directory.hpp
@@ -50,8 +50,6 @@
     /// What makes the directory a whole listing: an entry for each server in it, a removal for each other
     /// one.
     [[nodiscard]] std::vector<directory_change> changes_to(const std::vector<server_entry>& listed) const;
-    /// Takes a whole listing over: servers that it leaves out are removed.
-    void replace(const std::vector<server_entry>& listed, instant now);
 
     /// The store stopped answering this process.
     void on_store_lost(instant now);
--- a/src/currantspar/core/routing_views.cpp
+++ b/src/currantspar/core/routing_views.cpp
@@ -57,10 +57,10 @@
 {
     const policy::engine_report* report = run.state.routing.dispatcher.report(engine);
     return report != nullptr && report->condition != policy::engine_condition::leaving &&
-           !reports::silent(run, engine);
+           !run.state.routing.silent.contains(engine);
 }
 
-/// Adds to the time line when an engine falls silent or is heard of again.
+/// Takes in whether an engine is silent, and adds to the time line when it falls silent or is heard of again.
 void note_silence(step& run, const engine_id& engine)
 {
     std::set<engine_id>& known = run.state.routing.silent;
--- a/src/currantspar/relay/server_directory.cpp
+++ b/src/currantspar/relay/server_directory.cpp
@@ -57,13 +57,6 @@
     return change.entry ? put(*change.entry, now) : remove(change.id, now);
 }
 
-void server_directory::replace(const std::vector<server_entry>& listed, instant now)
-{
-    for (const directory_change& change : changes_to(listed)) {
-        apply(change, now);
-    }
-}
-
 void server_directory::on_store_lost(instant)
 {
     store_lost_ = true;
--- a/src/currantspar/relay/server_directory_test.cpp
+++ b/src/currantspar/relay/server_directory_test.cpp
@@ -60,7 +60,9 @@
 {
     server_directory directory;
     directory.put(make_server("one", "desk"), at(0));
-    directory.replace({make_server("two", "desk")}, at(20));
+    for (const directory_change& change : directory.changes_to({make_server("two", "desk")})) {
+        directory.apply(change, at(20));
+    }
     BOOST_TEST(directory.open_servers(desk).size() == 1U);
     BOOST_TEST((directory.open_servers(desk).front().id == backend_id("two")));
 }
