--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -399,7 +399,10 @@
                                         : how == attempt_failure::not_run   ? "not_run"
                                                                             : "lost"},
                                 {"detail", detail},
-                                {"after_ms", milliseconds_text(now - req.sent)}}});
+                                {"after_ms", milliseconds_text(now - req.sent)},
+                                {"stage", std::string(stage_name(req.stage))},
+                                {"first_event", req.has_events ? "true" : "false"},
+                                {"segments", shared_segments_text(req.info)}}});
     if (refused) {
         if (retry_decode_elsewhere(it, now, out)) {
             return out;
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -344,6 +344,27 @@
     BOOST_TEST(first<abort_response>(effects) != nullptr);
 }
 
+/// Guards against losses that can't be told apart in the logs: what the requests lost with an engine have in
+/// common shows whether one of them ended it.
+BOOST_AUTO_TEST_CASE(the_log_of_a_lost_attempt_names_the_shared_segments_of_its_prompt)
+{
+    served_node node;
+    request_info info = test::make_prompt("r", 0xabc, 300, 200);
+    info.segments.insert(info.segments.begin(), prompt_segment{0x12, 50});
+    const attempt_id attempt = node.sent(info);
+    const relay_effects effects = node.core.on_failure(attempt, attempt_failure::lost, "closed", at(1.1));
+    const auto* line = first<log_decision>(effects);
+    BOOST_REQUIRE(line != nullptr);
+    BOOST_TEST(line->event == "attempt_failed");
+    const auto has = [&](const std::string& key, const std::string& value) {
+        return std::find(line->fields.begin(), line->fields.end(), std::pair(key, value)) !=
+               line->fields.end();
+    };
+    BOOST_TEST(has("segments", "12,abc"));
+    BOOST_TEST(has("stage", "read_prompt"));
+    BOOST_TEST(has("first_event", "false"));
+}
+
 BOOST_AUTO_TEST_CASE(the_accounts_balance)
 {
     served_node node;
