--- a/include/currantspar/gateway/load_digest.hpp
+++ b/include/currantspar/gateway/load_digest.hpp
@@ -11,6 +11,7 @@
 #include "currantspar/base/result.hpp"
 #include "currantspar/relay/directory_changelog.hpp"
 #include "currantspar/relay/engine_choice.hpp"
+#include "currantspar/relay/segment_quarantine.hpp"
 
 namespace currantspar::gateway {
 
@@ -26,6 +27,7 @@
     data_centre_id data_centre;                         ///< of the sender
     std::optional<relay::directory_update> servers;     ///< present when the sender reads the shared store
     std::map<service_id, relay::speed_report> speeds{}; ///< of engines, as measured by the sender
+    relay::quarantine_report quarantine{};              ///< crashes of engines, and who must not run
 };
 
 /// Serializes a digest. Thread safe.
--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -47,8 +47,9 @@
     [[nodiscard]] bool due(instant now) const { return !self_.empty() && now >= delta_due_; }
     /// Sends a full digest when one is due, otherwise what has changed since the last digest, if anything.
     /// Precondition: due().
-    void send_digest(relay::engine_choice& work, std::uint64_t configuration,
-                     std::optional<relay::directory_update> servers, instant now);
+    void send_digest(relay::engine_choice& work, relay::segment_quarantine& quarantine,
+                     std::uint64_t configuration, std::optional<relay::directory_update> servers,
+                     instant now);
     /// The minimum time between two delta digests to the known peers.
     [[nodiscard]] duration digest_period() const;
     /// The number of live nodes, including this one.
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -18,6 +18,7 @@
 #include "currantspar/relay/engine_choice.hpp"
 #include "currantspar/relay/relay_effect.hpp"
 #include "currantspar/relay/routing_table.hpp"
+#include "currantspar/relay/segment_quarantine.hpp"
 #include "currantspar/relay/server_directory.hpp"
 
 namespace currantspar::relay {
@@ -30,6 +31,7 @@
     double retries_reserve = 20;      ///< additional repeated arrivals, over all nodes
     engine_choice_options engines{};
     admission_options admission{};
+    segment_quarantine_options quarantine{};
     duration min_time_left = std::chrono::milliseconds(8); ///< a request with less time left is not sent
     duration no_server_retry = std::chrono::milliseconds(700);
     duration full_retry = std::chrono::milliseconds(400);
@@ -56,6 +58,14 @@
     lost,        ///< reset, closed, corrupted or timed out: may have been executed
 };
 
+/// What became of a probe of a server.
+enum class probe_result
+{
+    connected, ///< the server's process lives
+    refused,   ///< nothing listens at its address
+    timed_out, ///< the server can't be reached, which says nothing about its process
+};
+
 /// State machine of all requests: routes them, chooses servers, and decides which of them may be retried. It
 /// does no I/O: each call returns the effects that its caller must carry out. Not thread safe.
 class relay_core
@@ -77,6 +87,8 @@
     [[nodiscard]] const routing_table& routes() const { return routes_; }
     [[nodiscard]] engine_choice& engines() { return engines_; }
     [[nodiscard]] const engine_choice& engines() const { return engines_; }
+    [[nodiscard]] segment_quarantine& quarantine() { return quarantine_; }
+    [[nodiscard]] const segment_quarantine& quarantine() const { return quarantine_; }
     /// Returns the open servers of a service that the circuit breaker does not avoid.
     [[nodiscard]] std::vector<server_entry> responsive_servers(const service_id& service, instant now) const;
     /// Returns whether requests can be served: a configuration and servers are known.
@@ -110,6 +122,9 @@
     [[nodiscard]] relay_effects on_failure(attempt_id attempt, attempt_failure how, const std::string& detail,
                                            instant now);
 
+    /// A probe that this object asked for has ended.
+    [[nodiscard]] relay_effects on_probed(const backend_id& server, probe_result result, instant now);
+
     // Time.
 
     [[nodiscard]] relay_effects on_tick(instant now);
@@ -152,6 +167,17 @@
         bool has_events = false;
         instant last_event_at{};
         duration longest_pause{};
+        bool is_trial = false; ///< let through although it has a quarantined segment
+    };
+
+    /// A request that was lost at a server of which it isn't known yet whether it crashed.
+    struct unexplained_loss
+    {
+        std::string request_id;
+        std::int64_t server_started_ms = 0;
+        instant sent{};
+        instant lost{};
+        std::vector<segment_id> segments;
     };
 
     using request_map = std::map<request_number, request>;
@@ -168,6 +194,11 @@
                              relay_effects& out);
     /// Refuses a request that no engine has attempted yet when its engine is overloaded; false: admitted.
     bool refuse_overload(request_map::iterator it, const placement& chosen, instant now, relay_effects& out);
+    /// Refuses a request that has a quarantined segment; false: it may be sent.
+    bool refuse_quarantined(request_map::iterator it, instant now, relay_effects& out);
+    /// Probes the engine at which a request was lost, unless a probe is under way.
+    void probe_after_loss(const request& req, instant now, relay_effects& out);
+    void log_quarantine_changes(relay_effects& out);
     void send(request_map::iterator it, const server_entry& server, attempt_stage stage,
               const std::string& handle, const std::string& handle_address, instant now, relay_effects& out);
     /// Sends a request whose KV cache was refused to another decode engine, since the first may have been
@@ -196,6 +227,8 @@
     server_directory directory_;
     engine_choice engines_;
     circuit_breaker circuit_;
+    segment_quarantine quarantine_;
+    std::map<backend_id, std::vector<unexplained_loss>> unexplained_; ///< by probed server
     std::map<backend_id, instant> avoided_prefill_; ///< after failed KV cache transfers: avoided until
     std::map<service_id, policy::backend_health> health_;
     std::map<service_id, admission> admissions_;
--- a/include/currantspar/relay/relay_effect.hpp
+++ b/include/currantspar/relay/relay_effect.hpp
@@ -85,7 +85,14 @@
     std::string handle;
 };
 
-/// Log a decision about a request.
+/// Open a connection to a server and close it again; relay_core::on_probed gets the result.
+struct probe_server
+{
+    backend_id server;
+    std::string address;
+};
+
+/// Log a decision about a request, or about a server if `request_id` is empty.
 struct log_decision
 {
     std::string event;
@@ -95,7 +102,7 @@
 
 /// An action that the caller of relay_core must carry out.
 using relay_effect = std::variant<start_attempt, cancel_attempt, open_response, end_response, abort_response,
-                                  deliver_response, reply, free_kv_cache, log_decision>;
+                                  deliver_response, reply, free_kv_cache, probe_server, log_decision>;
 
 using relay_effects = std::vector<relay_effect>;
 
--- a/schema/load.capnp
+++ b/schema/load.capnp
@@ -16,6 +16,33 @@
   dataCentre @6 :Text;        # of the sender
   servers @7 :ServersStatement; # null: the sender doesn't read the shared store, or has nothing to tell now
   speeds @8 :List(EngineSpeed); # in whole digests: what the sender has measured
+  lost @9 :List(LostRequest); # requests lost in crashes of engines, seen by the sender
+  completed @10 :List(CompletedSegment);
+  quarantined @11 :List(QuarantinedSegment);
+}
+
+# A request that an engine had when it crashed.
+struct LostRequest {
+  request @0 :Text;
+  engine @1 :Text;
+  engineStarted @2 :Int64;    # milliseconds of the engine's wall clock
+  sentAgeMs @3 :UInt32;       # since it was sent to the engine
+  crashAgeMs @4 :UInt32;      # since the crash
+  segments @5 :List(UInt64);
+}
+
+# The last time that a request with this segment was answered completely.
+struct CompletedSegment {
+  segment @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+# Requests with this segment are refused.
+struct QuarantinedSegment {
+  segment @0 :UInt64;
+  trials @1 :UInt8;            # number of trials so far
+  ageMs @2 :UInt32;
+  remainingMs @3 :UInt32;     # until the next trial
 }
 
 # What the sender read from the shared store of the servers' list.
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -123,11 +123,13 @@
                      }),
       peers_(reactor, {}, [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
       roles_(servers_, store_, wire, core_, settings_.node, settings_.store_address),
-      store_reader_(store_, wire, core_, peers_, settings_, [this](const relay::server_entry& entry) {
-          if (entry.role) {
-              roles_.on_role(entry.id, *entry.role);
-          }
-      })
+      store_reader_(store_, wire, core_, peers_, settings_,
+                    [this](const relay::server_entry& entry) {
+                        if (entry.role) {
+                            roles_.on_role(entry.id, *entry.role);
+                        }
+                    }),
+      probes_(reactor)
 {
     core_.engines().prefer_connected(
         [this](const std::string& address) { return servers_.has_idle(address); });
@@ -338,9 +340,24 @@
         now);
 }
 
+void gateway_node::apply(const relay::probe_server& effect, instant now)
+{
+    probes_.start(
+        effect.address,
+        [this, server = effect.server](relay::probe_result result) {
+            const instant ended_at = io::monotonic_now();
+            run(core_.on_probed(server, result, ended_at), ended_at);
+            update_peers(ended_at);
+        },
+        now);
+}
+
 void gateway_node::apply(const relay::log_decision& effect, instant)
 {
-    std::vector<io::log_field> fields = {{"request", effect.request_id}};
+    std::vector<io::log_field> fields;
+    if (!effect.request_id.empty()) {
+        fields.push_back({"request", effect.request_id});
+    }
     for (const auto& [key, value] : effect.fields) {
         fields.push_back({key, value});
     }
@@ -441,13 +458,15 @@
     core_.engines().on_peer_work(digest.sender, digest.engines, digest.full, now);
     core_.engines().on_peer_segments(digest.segments, now);
     core_.engines().on_peer_speeds(digest.sender, digest.speeds, now);
+    core_.quarantine().on_peer_report(digest.sender, digest.quarantine, now);
     store_reader_.on_digest(digest, now);
 }
 
 void gateway_node::update_peers(instant now)
 {
     if (peers_.due(now)) {
-        peers_.send_digest(core_.engines(), core_.routes().version(), store_reader_.make_update(now), now);
+        peers_.send_digest(core_.engines(), core_.quarantine(), core_.routes().version(),
+                           store_reader_.make_update(now), now);
     }
 }
 
@@ -493,6 +512,7 @@
     store_reader_.on_tick(now);
     announce(now);
     calls_.on_tick(now);
+    probes_.on_tick(now);
     servers_.on_tick(now);
     store_.on_tick(now);
     update_peers(now);
@@ -500,6 +520,7 @@
         roles_.on_tick(peers_.rank(), now);
     }
     core_.on_nodes(peers_.live_nodes());
+    core_.quarantine().set_rank(peers_.rank());
     core_.engines().set_view_lag(peers_.digest_period());
     run(core_.on_tick(now), now);
     if (now >= idle_check_due_) {
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "caller_server.hpp"
+#include "connect_probe.hpp"
 #include "currantspar/gateway/caller_connection.hpp"
 #include "currantspar/gateway/event_splitter.hpp"
 #include "currantspar/gateway/peer_link.hpp"
@@ -70,6 +71,7 @@
     void apply(const relay::deliver_response& effect, instant now);
     void apply(const relay::reply& effect, instant now);
     void apply(const relay::free_kv_cache& effect, instant now);
+    void apply(const relay::probe_server& effect, instant now);
     void apply(const relay::log_decision& effect, instant now);
 
     // Servers.
@@ -109,6 +111,7 @@
     role_controller roles_;
     store_reader store_reader_;
     unary_calls calls_;
+    connect_probes probes_;
     gateway_metrics metrics_;
     bool announced_ = false;
     instant announce_due_{};
--- a/src/currantspar/gateway/load.capnp.h
+++ b/src/currantspar/gateway/load.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c1cf87668186831e);
+CAPNP_DECLARE_SCHEMA(95b3c7e8aed7b7af);
+CAPNP_DECLARE_SCHEMA(fc599dcc80ee1c28);
+CAPNP_DECLARE_SCHEMA(d7c6005f188c75c6);
 CAPNP_DECLARE_SCHEMA(bc780fee5183e66c);
 CAPNP_DECLARE_SCHEMA(ab7d726de011a8d7);
 CAPNP_DECLARE_SCHEMA(807e98b865a4f60e);
@@ -38,7 +41,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c1cf87668186831e, 3, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LostRequest {
+  LostRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(95b3c7e8aed7b7af, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CompletedSegment {
+  CompletedSegment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc599dcc80ee1c28, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantinedSegment {
+  QuarantinedSegment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7c6005f188c75c6, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -163,6 +211,15 @@
   inline bool hasSpeeds() const;
   inline  ::capnp::List< ::currantspar::gateway::wire::EngineSpeed,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
 
+  inline bool hasLost() const;
+  inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Reader getLost() const;
+
+  inline bool hasCompleted() const;
+  inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Reader getCompleted() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -242,6 +299,27 @@
   inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::EngineSpeed,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::EngineSpeed,  ::capnp::Kind::STRUCT>> disownSpeeds();
 
+  inline bool hasLost();
+  inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Builder getLost();
+  inline void setLost( ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Builder initLost(unsigned int size);
+  inline void adoptLost(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>> disownLost();
+
+  inline bool hasCompleted();
+  inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Builder getCompleted();
+  inline void setCompleted( ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Builder initCompleted(unsigned int size);
+  inline void adoptCompleted(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>> disownCompleted();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -269,6 +347,295 @@
 };
 #endif  // !CAPNP_LITE
 
+class LostRequest::Reader {
+public:
+  typedef LostRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline  ::int64_t getEngineStarted() const;
+
+  inline  ::uint32_t getSentAgeMs() const;
+
+  inline  ::uint32_t getCrashAgeMs() const;
+
+  inline bool hasSegments() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSegments() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LostRequest::Builder {
+public:
+  typedef LostRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline  ::int64_t getEngineStarted();
+  inline void setEngineStarted( ::int64_t value);
+
+  inline  ::uint32_t getSentAgeMs();
+  inline void setSentAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getCrashAgeMs();
+  inline void setCrashAgeMs( ::uint32_t value);
+
+  inline bool hasSegments();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSegments();
+  inline void setSegments( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSegments(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSegments(unsigned int size);
+  inline void adoptSegments(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSegments();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LostRequest::Pipeline {
+public:
+  typedef LostRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CompletedSegment::Reader {
+public:
+  typedef CompletedSegment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegment() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CompletedSegment::Builder {
+public:
+  typedef CompletedSegment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegment();
+  inline void setSegment( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CompletedSegment::Pipeline {
+public:
+  typedef CompletedSegment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuarantinedSegment::Reader {
+public:
+  typedef QuarantinedSegment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegment() const;
+
+  inline  ::uint8_t getTrials() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantinedSegment::Builder {
+public:
+  typedef QuarantinedSegment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSegment();
+  inline void setSegment( ::uint64_t value);
+
+  inline  ::uint8_t getTrials();
+  inline void setTrials( ::uint8_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantinedSegment::Pipeline {
+public:
+  typedef QuarantinedSegment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServersStatement::Reader {
 public:
   typedef ServersStatement Reads;
@@ -1022,6 +1389,340 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool LoadDigest::Reader::hasLost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasLost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getLost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setLost( ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initLost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptLost(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::LostRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool LoadDigest::Reader::hasCompleted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasCompleted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getCompleted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getCompleted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setCompleted( ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initCompleted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptCompleted(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownCompleted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::CompletedSegment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool LoadDigest::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setQuarantined( ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::currantspar::gateway::wire::QuarantinedSegment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool LostRequest::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LostRequest::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LostRequest::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LostRequest::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LostRequest::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LostRequest::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LostRequest::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LostRequest::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LostRequest::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LostRequest::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LostRequest::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LostRequest::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LostRequest::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LostRequest::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LostRequest::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LostRequest::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t LostRequest::Reader::getEngineStarted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LostRequest::Builder::getEngineStarted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LostRequest::Builder::setEngineStarted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LostRequest::Reader::getSentAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LostRequest::Builder::getSentAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LostRequest::Builder::setSentAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LostRequest::Reader::getCrashAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LostRequest::Builder::getCrashAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LostRequest::Builder::setCrashAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LostRequest::Reader::hasSegments() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LostRequest::Builder::hasSegments() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LostRequest::Reader::getSegments() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LostRequest::Builder::getSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LostRequest::Builder::setSegments( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void LostRequest::Builder::setSegments(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LostRequest::Builder::initSegments(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LostRequest::Builder::adoptSegments(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LostRequest::Builder::disownSegments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CompletedSegment::Reader::getSegment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CompletedSegment::Builder::getSegment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CompletedSegment::Builder::setSegment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CompletedSegment::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CompletedSegment::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CompletedSegment::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantinedSegment::Reader::getSegment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantinedSegment::Builder::getSegment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedSegment::Builder::setSegment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t QuarantinedSegment::Reader::getTrials() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t QuarantinedSegment::Builder::getTrials() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedSegment::Builder::setTrials( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantinedSegment::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantinedSegment::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedSegment::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantinedSegment::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantinedSegment::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedSegment::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ServersStatement::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/currantspar/gateway/load_digest.cpp
+++ b/src/currantspar/gateway/load_digest.cpp
@@ -129,6 +129,60 @@
     }
 }
 
+void write_quarantine(const relay::quarantine_report& report, wire::LoadDigest::Builder root)
+{
+    auto lost = root.initLost(static_cast<unsigned>(report.lost.size()));
+    for (unsigned index = 0; index < lost.size(); ++index) {
+        const relay::lost_request& from = report.lost[index];
+        lost[index].setRequest(from.request_id);
+        lost[index].setEngine(from.engine.str());
+        lost[index].setEngineStarted(from.engine_started_ms);
+        lost[index].setSentAgeMs(to_milliseconds(from.since_sent));
+        lost[index].setCrashAgeMs(to_milliseconds(from.since_crash));
+        auto segments = lost[index].initSegments(static_cast<unsigned>(from.segments.size()));
+        for (unsigned segment = 0; segment < segments.size(); ++segment) {
+            segments.set(segment, from.segments[segment]);
+        }
+    }
+    auto completed = root.initCompleted(static_cast<unsigned>(report.completed.size()));
+    unsigned next = 0;
+    for (const auto& [segment, age] : report.completed) {
+        completed[next].setSegment(segment);
+        completed[next++].setAgeMs(to_milliseconds(age));
+    }
+    auto quarantined = root.initQuarantined(static_cast<unsigned>(report.quarantined.size()));
+    for (unsigned index = 0; index < quarantined.size(); ++index) {
+        const relay::quarantined_segment& from = report.quarantined[index];
+        quarantined[index].setSegment(from.segment);
+        quarantined[index].setTrials(static_cast<std::uint8_t>(from.trials));
+        quarantined[index].setAgeMs(to_milliseconds(from.age));
+        quarantined[index].setRemainingMs(to_milliseconds(from.remaining));
+    }
+}
+
+relay::quarantine_report read_quarantine(wire::LoadDigest::Reader root)
+{
+    using std::chrono::milliseconds;
+    relay::quarantine_report report;
+    for (const auto in : root.getLost()) {
+        relay::lost_request lost{
+            in.getRequest().cStr(),          backend_id(in.getEngine().cStr()), in.getEngineStarted(),
+            milliseconds(in.getSentAgeMs()), milliseconds(in.getCrashAgeMs()),  {}};
+        for (const std::uint64_t segment : in.getSegments()) {
+            lost.segments.push_back(segment);
+        }
+        report.lost.push_back(std::move(lost));
+    }
+    for (const auto in : root.getCompleted()) {
+        report.completed.emplace(in.getSegment(), milliseconds(in.getAgeMs()));
+    }
+    for (const auto in : root.getQuarantined()) {
+        report.quarantined.push_back({in.getSegment(), in.getTrials(), milliseconds(in.getAgeMs()),
+                                      milliseconds(in.getRemainingMs())});
+    }
+    return report;
+}
+
 } // namespace
 
 std::string encode_digest(const load_digest& digest)
@@ -143,6 +197,7 @@
     write_engines(digest.engines, root);
     write_segments(digest.segments, root);
     write_speeds(digest.speeds, root);
+    write_quarantine(digest.quarantine, root);
     if (digest.servers) {
         write_directory_update(*digest.servers, root.initServers());
     }
@@ -177,6 +232,7 @@
         for (const auto entry : root.getSpeeds()) {
             digest.speeds[service_id(entry.getService().cStr())] = {entry.getLogFactor(), entry.getWeight()};
         }
+        digest.quarantine = read_quarantine(root);
         if (root.hasServers()) {
             digest.servers = read_directory_update(root.getServers());
         }
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -189,6 +189,14 @@
     engine.started_ms = 1234567890123;
     digest.servers = relay::directory_update{
         7, 12, {{8, engine.id, engine}, {9, backend_id("e2"), std::nullopt}}, std::chrono::milliseconds(40)};
+    digest.quarantine.lost.push_back({"r1",
+                                      engine.id,
+                                      engine.started_ms,
+                                      std::chrono::milliseconds(150),
+                                      std::chrono::milliseconds(2),
+                                      {99, 100}});
+    digest.quarantine.completed = {{99, std::chrono::milliseconds(30)}};
+    digest.quarantine.quarantined = {{100, 2, std::chrono::seconds(70), std::chrono::seconds(480)}};
     digest.speeds = {{service_id("llm"), {1.5, 20}}};
     const auto read = decode_digest(encode_digest(digest));
     BOOST_REQUIRE(read.has_value());
@@ -207,6 +215,20 @@
     BOOST_TEST(read->configuration == 8U);
     BOOST_TEST(read->speeds.at(service_id("llm")).log_factor == 1.5);
     BOOST_TEST(read->speeds.at(service_id("llm")).weight == 20.0);
+    BOOST_REQUIRE(read->quarantine.lost.size() == 1U);
+    const relay::lost_request& lost = read->quarantine.lost[0];
+    BOOST_TEST(lost.request_id == "r1");
+    BOOST_TEST((lost.engine == engine.id));
+    BOOST_TEST(lost.engine_started_ms == engine.started_ms);
+    BOOST_TEST((lost.since_sent == std::chrono::milliseconds(150)));
+    BOOST_TEST((lost.since_crash == std::chrono::milliseconds(2)));
+    BOOST_TEST((lost.segments == std::vector<relay::segment_id>{99, 100}));
+    BOOST_TEST((read->quarantine.completed.at(99) == std::chrono::milliseconds(30)));
+    BOOST_REQUIRE(read->quarantine.quarantined.size() == 1U);
+    BOOST_TEST(read->quarantine.quarantined[0].segment == 100U);
+    BOOST_TEST(read->quarantine.quarantined[0].trials == 2U);
+    BOOST_TEST((read->quarantine.quarantined[0].age == std::chrono::seconds(70)));
+    BOOST_TEST((read->quarantine.quarantined[0].remaining == std::chrono::seconds(480)));
     BOOST_TEST(!decode_digest("").has_value());
     for (std::size_t length = 1; length < 24; ++length) {
         static_cast<void>(decode_digest(std::string(length, '\xff')));
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -60,8 +60,9 @@
     }
 }
 
-void peer_link::send_digest(relay::engine_choice& work, std::uint64_t configuration,
-                            std::optional<relay::directory_update> servers, instant now)
+void peer_link::send_digest(relay::engine_choice& work, relay::segment_quarantine& quarantine,
+                            std::uint64_t configuration, std::optional<relay::directory_update> servers,
+                            instant now)
 {
     const relay::engine_loads& own = work.own_work();
     load_digest digest{self_,
@@ -72,7 +73,8 @@
                        configuration,
                        data_centre_,
                        std::move(servers),
-                       {}};
+                       {},
+                       quarantine.make_report(now >= full_due_, now)};
     if (digest.full) {
         full_due_ = now + options_.full_period;
         remove_inactive_peers(now);
@@ -91,7 +93,7 @@
             }
         }
         if (digest.engines.empty() && digest.segments.empty() && !digest.servers &&
-            configuration == sent_configuration_) {
+            digest.quarantine.empty() && configuration == sent_configuration_) {
             return;
         }
     }
--- a/src/currantspar/gateway/test_node.hpp
+++ b/src/currantspar/gateway/test_node.hpp
@@ -29,6 +29,10 @@
         decoded.id = field(request.fields, "Id");
         decoded.host = field(request.fields, "Host");
         decoded.path = request.target;
+        // One digit a segment.
+        for (const char digit : field(request.fields, "Segments")) {
+            decoded.segments.push_back({static_cast<std::uint64_t>(digit - '0'), 1});
+        }
         return decoded;
     }
     std::string encode_attempt(const http_request& request,
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -19,6 +19,7 @@
     bool close = false; ///< after the bytes; with `reset`, by a TCP reset
     bool reset = false;
     bool hold = false;     ///< keep the connection open until the client closes it
+    bool crash = false;    ///< close the connection and accept no further ones
     std::string endless{}; ///< sent after `bytes`, again and again, until the client closes the connection
 };
 
@@ -35,6 +36,8 @@
 
     /// `127.0.0.1:port`.
     [[nodiscard]] const std::string& address() const { return address_; }
+    /// True once a response made it stop accepting connections.
+    [[nodiscard]] bool crashed() const { return crashed_; }
     /// The number of requests received.
     [[nodiscard]] unsigned requests() const { return requests_; }
     /// The bytes of endless responses that were sent.
@@ -50,6 +53,7 @@
     std::string address_;
     int listener_ = -1;
     std::atomic<bool> stopping_ = false;
+    std::atomic<bool> crashed_ = false;
     std::atomic<unsigned> requests_ = 0;
     std::atomic<std::size_t> endless_bytes_sent_ = 0;
     std::atomic<unsigned> closed_while_held_ = 0;
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -121,7 +121,11 @@
             const linger at_once{1, 0};
             setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
         }
-        if (next.close || next.reset) {
+        if (next.crash) {
+            crashed_ = true;
+            ::shutdown(listener_, SHUT_RDWR);
+        }
+        if (next.close || next.reset || next.crash) {
             break;
         }
     }
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -56,9 +56,9 @@
 } // namespace
 
 relay_core::relay_core(relay_options options)
-    : options_(std::move(options)), random_(options_.seed),
-      engines_(engine_options(options_)), retries_{options_.retries_per_request,
-                                                   options_.retries_reserve / assumed_nodes}
+    : options_(std::move(options)), random_(options_.seed), engines_(engine_options(options_)),
+      quarantine_(options_.quarantine), retries_{options_.retries_per_request,
+                                                 options_.retries_reserve / assumed_nodes}
 {}
 
 void relay_core::on_nodes(std::size_t nodes)
@@ -341,6 +341,7 @@
         return out;
     }
     end_attempt(it->second, true, now);
+    quarantine_.on_completed(it->second.info, now);
     out.push_back(end_response{it->first});
     finish(it, core::request_outcome::answered, "stream", now, out);
     return out;
@@ -382,6 +383,9 @@
     circuit_.on_failure(req.server, how == attempt_failure::not_written, now);
     const backend_id server = req.server;
     const bool prefilling = req.stage == attempt_stage::prefill_only;
+    if (lost) {
+        probe_after_loss(req, now, out);
+    }
     if (lost && !prefilling) {
         req.runs += 1;
         req.may_have_run = true;
@@ -532,6 +536,8 @@
     relay_effects out;
     directory_.on_tick(now);
     engines_.on_tick(now);
+    quarantine_.on_tick(now);
+    log_quarantine_changes(out);
     for (auto it = requests_.begin(); it != requests_.end();) {
         const auto next = std::next(it);
         request& req = it->second;
--- a/src/currantspar/relay/relay_core_engines.cpp
+++ b/src/currantspar/relay/relay_core_engines.cpp
@@ -17,6 +17,9 @@
 void relay_core::dispatch_generation(request_map::iterator it, const engine_traits& traits, instant now,
                                      relay_effects& out)
 {
+    if (refuse_quarantined(it, now, out)) {
+        return;
+    }
     request& req = it->second;
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
     std::set<backend_id> excluded = excluded_servers(req, servers, now);
@@ -108,6 +111,10 @@
         dispatch(it, now, out);
         return;
     }
+    if (refuse_quarantined(it, now, out)) {
+        out.push_back(free_kv_cache{prefill_engine->address, handle});
+        return;
+    }
     send(it, *decode_engine, attempt_stage::decode_only, handle, prefill_engine->address, now, out);
 }
 
@@ -125,6 +132,11 @@
     if (decode_engine == nullptr || prefill_engine == nullptr) {
         return false;
     }
+    const std::string handle = req.handle;
+    if (refuse_quarantined(it, now, out)) {
+        out.push_back(free_kv_cache{prefill_engine->address, handle});
+        return true;
+    }
     send(it, *decode_engine, attempt_stage::decode_only, req.handle, prefill_engine->address, now, out);
     return true;
 }
