Abort a resumed stream when its next server answers with an error

What callers see: a stream that may be resumed breaks off, the next server answers with an error (or any complete response), and the head and text of that response arrive in the middle of the stream.

Cause: relay_core::on_response delivered every complete response, also to a caller that had the head of a stream.

Change: to a caller with a part of a stream such a response is a lost attempt: tried elsewhere where the route allows it, otherwise the response is aborted. The test failed before for 200, 400 and 500.

--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -355,6 +355,10 @@
         return out;
     }
     request& req = it->second;
+    if (req.streaming) {
+        // The caller has a part of a stream: another response can neither continue nor replace it.
+        return on_failure(attempt, attempt_failure::lost, "status " + std::to_string(response.status), now);
+    }
     const bool failed = response.status >= first_server_error;
     if (failed && req.route->kind == route_kind::idempotent) {
         req.runs += 1;
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -330,6 +330,32 @@
     BOOST_TEST(!first<open_response>(node.core.on_stream_head(again->attempt, at(1.5)))->with_head);
 }
 
+/// Guards against an error response, of the server at which a stream is resumed, in the middle of that
+/// stream.
+BOOST_AUTO_TEST_CASE(an_error_response_to_a_resumed_stream_is_never_forwarded)
+{
+    for (const int status : {200, 400, 500}) {
+        served_node node;
+        request_info info = test::make_prompt("r", 7, 300, 200);
+        info.path = "/resume/1";
+        attempt_id attempt = node.sent(info);
+        relay_effects effects = node.core.on_prompt_prefilled(attempt, "h", at(1.1));
+        if (const auto* run = first<start_attempt>(effects)) {
+            attempt = run->attempt;
+            node.core.on_written(attempt);
+        }
+        static_cast<void>(node.core.on_stream_head(attempt, at(1.2)));
+        static_cast<void>(node.core.on_events(attempt, "5", at(1.3)));
+        effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.4));
+        attempt = first<start_attempt>(effects)->attempt;
+        node.core.on_written(attempt);
+        effects = node.core.on_response(attempt, signed_response(status), at(1.5));
+        BOOST_TEST(first<deliver_response>(effects) == nullptr);
+        BOOST_TEST(first<end_response>(effects) == nullptr);
+        BOOST_TEST(first<abort_response>(effects) != nullptr);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_stream_that_may_not_be_resumed_is_aborted_and_never_completed)
 {
     served_node node;
