Don't take an earlier refusal, repeated without an id, for the next response

What callers see: a faulty server writes an earlier refusal once more on a kept connection. The next request there, which runs, was called not run and sent to a second server as well (the test saw two runs of a request that may run once).

Cause: a response that names no request was taken for the open one. That is only certain on a connection that has carried no other request.

Change: the pool tells when a connection is a kept one; there a response without an id is a lost attempt, one that may have run. On a new connection it is believed as before. A response with another request's id was and is skipped. The test failed before.

--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -22,6 +22,9 @@
     exchange_sink& operator=(const exchange_sink&) = delete;
     virtual ~exchange_sink() = default;
 
+    /// The request is sent on a connection that carried others before: a response that names no request may
+    /// belong to one of them.
+    virtual void connection_kept() {}
     /// The first byte of the request was written.
     virtual void request_written() {}
     /// The head of a response arrived. Returns false when the response belongs to another request; it is then
@@ -56,7 +59,7 @@
     ~server_pool();
 
     /// Sends a request to `IP:port`. `sink` must live until response_complete, request_failed or cancel().
-    /// Within start() only request_written may be called.
+    /// Within start() only connection_kept and request_written may be called.
     exchange_id start(const std::string& address, const std::string& request, exchange_sink& sink,
                       instant now);
     /// Closes the connection of an exchange; its sink isn't called again.
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -63,6 +63,7 @@
           request_id(effect.request_id), expects_stream(effect.stream)
     {}
 
+    void connection_kept() override { on_kept_connection_ = true; }
     void request_written() override { node_.core_.on_written(number); }
 
     bool response_head(int status, const http_fields& head) override
@@ -86,6 +87,9 @@
         node_.on_failed(*this, written, detail);
     }
 
+    /// True when the response may belong to an earlier request on the connection.
+    [[nodiscard]] bool is_ambiguous() const { return on_kept_connection_ && decoded.request_id.empty(); }
+
     /// True for a success status that the server verifiably sent in response to this request.
     [[nodiscard]] bool is_verified_success() const
     {
@@ -95,6 +99,7 @@
 
 private:
     gateway_node& node_;
+    bool on_kept_connection_ = false;
 
 public:
     attempt_id number;
@@ -411,6 +416,9 @@
         } else {
             effects = core_.on_stream_end(number, now);
         }
+    } else if (from.is_ambiguous()) {
+        effects = core_.on_failure(number, relay::attempt_failure::lost,
+                                   "response without an id on a kept connection", now);
     } else if (decoded.not_run || decoded.status == status_misdirected) {
         effects = core_.on_failure(number, relay::attempt_failure::not_run,
                                    "status " + std::to_string(decoded.status), now);
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -327,6 +327,29 @@
     BOOST_TEST(received.find("Connection: close") != std::string::npos);
 }
 
+/// Guards against a server that writes an earlier refusal once more, without an id, where the response to the
+/// next request on the connection is due: that request has run, so it must not be called not run or run
+/// again.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_on_a_kept_connection_is_not_taken_for_the_next_request)
+{
+    const std::string refusal = "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<unsigned> runs = 0;
+    const auto refuses_again = [&](const http_request& from) {
+        if (id_of(from) == "refused") {
+            return scripted_response{refusal};
+        }
+        runs += 1;
+        return scripted_response{refusal + make_response(id_of(from), "ran")};
+    };
+    running_node run({refuses_again, refuses_again});
+    const std::string first = run.call(request("POST", "/once/1", "refused"), ends_with("\r\n\r\n"));
+    BOOST_TEST(first.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(run.servers[0]->requests() + run.servers[1]->requests() == 2U);
+    const std::string second = run.call(request("POST", "/once/2", "b"), ends_with("\r\n\r\n"));
+    BOOST_TEST(second.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(runs.load() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -237,6 +237,7 @@
         idle.pop_back();
         if (kept->usable(now)) {
             busy_.emplace(exchange, kept);
+            sink.connection_kept();
             kept->begin(exchange, request, sink);
             return exchange;
         }
