Take a stream that ends before its first event for broken off

A response may have neither a length nor chunks and end with its connection. A server that ended before its first event was therefore reported as a complete, empty stream, and counted as a completed request, which would also clear the segments of a prompt that crashes engines.

Change: a stream without an event is a lost attempt. The test failed before. A stream that ends inside an event was taken for broken off already.

--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -410,9 +410,11 @@
     const relay::response_info& decoded = from.decoded;
     relay::relay_effects effects;
     if (from.streaming) {
-        if (!from.events.at_event_end()) {
-            effects = core_.on_failure(number, relay::attempt_failure::lost,
-                                       "stream truncated within an event", now);
+        const bool has_events = !core_.first_event(number, now);
+        if (!from.events.at_event_end() || !has_events) {
+            effects = core_.on_failure(
+                number, relay::attempt_failure::lost,
+                has_events ? "stream truncated within an event" : "stream ended without an event", now);
         } else {
             effects = core_.on_stream_end(number, now);
         }
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -350,6 +350,18 @@
     BOOST_TEST(runs.load() == 1U);
 }
 
+/// Guards against a stream that ends with its connection before its first event and then looks complete.
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_before_its_first_event_is_not_complete)
+{
+    const auto empty = [](const http_request& from) {
+        return scripted_response{"HTTP/1.1 200 OK\r\nId: " + id_of(from) + "\r\nProof: p\r\n\r\n", true};
+    };
+    running_node run({empty});
+    const std::string received = run.call(request("POST", "/stream/1", "a"), ends_with("0\r\n\r\n"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
