Obey servers that announce their shutdown, and those that ask for a pause

A server that shuts down says so in its responses; a refusal may carry a Retry-After. Neither was read: a node learned of a shutdown from the store only, so in an outage of the store it went on sending to a server whose announcement it had passed on, and it sent to a refusing server as soon as the circuit breaker let it.

When all servers of a service pause, the refusal's Retry-After is the end of the first pause. Both beliefs are this node's own: the announcement reaches the others through the store, the pause was asked of this node alone.

--- a/include/currantspar/relay/model.hpp
+++ b/include/currantspar/relay/model.hpp
@@ -129,6 +129,8 @@
     bool not_run = false;   ///< the server states that it did not execute the request
     bool has_proof = false; ///< has the server's signature
     bool encoded = false;   ///< the body has a content encoding
+    bool leaving = false;   ///< the server announces that it shuts down
+    duration pause{}; ///< with a refusal: the server wants no requests of this node for so long; 0: none
 };
 
 } // namespace currantspar::relay
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -106,6 +106,8 @@
 
     /// The first byte of an attempt was written: from now on it may be executed.
     void on_written(attempt_id attempt);
+    /// The head of a response to this request arrived, with what the server says of itself.
+    [[nodiscard]] relay_effects on_response_head(attempt_id attempt, const response_info& head, instant now);
     /// A prompt was prefilled and its KV cache exported under `handle`.
     [[nodiscard]] relay_effects on_prompt_prefilled(attempt_id attempt, const std::string& handle,
                                                     instant now);
@@ -214,6 +216,8 @@
     void release_load(request& req);
     void retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
                        relay_effects& out);
+    /// Returns when a caller may come back to a service without an open server.
+    [[nodiscard]] duration no_server_wait(const service_id& service, instant now) const;
     /// Ends a request with an error response that states whether it may have been executed.
     void fail(request_map::iterator it, const std::string& reason, instant now, relay_effects& out);
     void refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason,
--- a/include/currantspar/relay/server_directory.hpp
+++ b/include/currantspar/relay/server_directory.hpp
@@ -35,7 +35,8 @@
     std::optional<server_entry> entry; ///< nothing: the server's entry was removed
 };
 
-/// The servers of all services as listed in the shared store. Not thread safe.
+/// The servers of all services as listed in the shared store, and what they said of themselves in responses
+/// to this node. Not thread safe.
 class server_directory
 {
 public:
@@ -58,6 +59,16 @@
     /// Removes missing entries whose retention has ended.
     void on_tick(instant now);
 
+    /// A server said in a response that it shuts down: it is closed until it has restarted or is removed,
+    /// whatever its entry says. Returns whether that is new.
+    bool on_leaving(const backend_id& id);
+    /// A server asked this node to send it nothing before `until`. Returns whether that is new.
+    bool on_pause(const backend_id& id, instant until);
+    /// Returns when the first of a service's servers that asked for a pause accepts work again.
+    [[nodiscard]] std::optional<instant> first_pause_end(const service_id& service) const;
+    /// Returns whether a server accepts new work.
+    [[nodiscard]] bool is_open(const backend_id& id) const;
+
     /// Returns the servers of a service that accept new work; valid until the next change.
     [[nodiscard]] const std::vector<server_entry>& open_servers(const service_id& service) const;
     /// Returns the entry, also of a draining server, or null.
@@ -67,12 +78,15 @@
 
 private:
     void rebuild();
+    void forget_responses(const backend_id& id);
     [[nodiscard]] bool retaining(instant now) const;
 
     directory_options options_;
     std::map<backend_id, server_entry> entries_;
     std::map<service_id, std::vector<server_entry>> open_;
-    std::set<backend_id> missing_; ///< removed in an outage or soon after, in use until retain_until_
+    std::set<backend_id> missing_;         ///< removed in an outage or soon after, in use until retain_until_
+    std::set<backend_id> leaving_;         ///< by their own word
+    std::map<backend_id, instant> paused_; ///< until when
     bool store_lost_ = false;
     instant retain_until_{};
 };
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -75,6 +75,10 @@
             return false;
         }
         fields = forwarded_fields(head);
+        if (!is_ambiguous()) {
+            const instant now = io::monotonic_now();
+            node_.run(node_.core_.on_response_head(number, decoded, now), now);
+        }
         node_.on_head(*this);
         return true;
     }
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -278,6 +278,26 @@
     }
 }
 
+relay_effects relay_core::on_response_head(attempt_id attempt, const response_info& head, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    const request& req = it->second;
+    if (head.leaving && directory_.on_leaving(req.server)) {
+        out.push_back(log_decision{"server_leaving", req.info.id, {{"server", req.server.str()}}});
+    }
+    if (head.pause > duration{} && directory_.on_pause(req.server, now + head.pause)) {
+        out.push_back(
+            log_decision{"server_paused",
+                         req.info.id,
+                         {{"server", req.server.str()}, {"pause_ms", milliseconds_text(head.pause)}}});
+    }
+    return out;
+}
+
 relay_effects relay_core::on_stream_head(attempt_id attempt, instant)
 {
     relay_effects out;
@@ -475,7 +495,7 @@
         return;
     }
     if (!req.may_have_run) {
-        const duration wait = reason == "no_server" ? options_.no_server_retry : options_.full_retry;
+        const duration wait = reason == "no_server" ? no_server_wait(req.service, now) : options_.full_retry;
         refuse(it, status_unavailable, wait, reason, now, out);
         return;
     }
@@ -484,6 +504,15 @@
     finish(it, core::request_outcome::unknown, reason, now, out);
 }
 
+duration relay_core::no_server_wait(const service_id& service, instant now) const
+{
+    const auto pause_end = directory_.first_pause_end(service);
+    if (!pause_end || *pause_end <= now) {
+        return options_.no_server_retry;
+    }
+    return std::chrono::duration_cast<duration>(*pause_end - now);
+}
+
 void relay_core::refuse(request_map::iterator it, int status, duration retry_after, const std::string& reason,
                         instant now, relay_effects& out)
 {
--- a/src/currantspar/relay/relay_core_engines.cpp
+++ b/src/currantspar/relay/relay_core_engines.cpp
@@ -104,7 +104,7 @@
     req.handle = handle;
     const server_entry* prefill_engine = directory_.find(req.placed.prefill_engine);
     const server_entry* decode_engine = directory_.find(req.placed.decode_engine);
-    if (prefill_engine == nullptr || decode_engine == nullptr || decode_engine->draining) {
+    if (prefill_engine == nullptr || decode_engine == nullptr || !directory_.is_open(decode_engine->id)) {
         if (prefill_engine != nullptr) {
             out.push_back(free_kv_cache{prefill_engine->address, handle});
         }
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -189,6 +189,60 @@
     }
 }
 
+/// Guards against requests to a server that said in a response that it shuts down, while its entry in the
+/// store is older or the store can't be read.
+BOOST_AUTO_TEST_CASE(a_server_that_announced_its_shutdown_gets_no_new_work_until_it_restarts)
+{
+    served_node node;
+    const attempt_id attempt = node.sent(make_call("r", "/read/1"));
+    response_info leaving = signed_response(200);
+    leaving.leaving = true;
+    static_cast<void>(node.core.on_response_head(attempt, leaving, at(1.1)));
+    static_cast<void>(node.core.on_response(attempt, leaving, at(1.1)));
+    const auto open = [&] { return node.core.directory().open_servers(service_id("desk")).size(); };
+    BOOST_TEST(open() == 1U);
+    for (const char* id : {"desk-1", "desk-2"}) {
+        server_entry again = test::make_server(id, "desk");
+        again.slots = 7;
+        node.core.directory().put(again, at(1.2));
+    }
+    BOOST_TEST(open() == 1U);
+    for (const char* id : {"desk-1", "desk-2"}) {
+        server_entry restarted = test::make_server(id, "desk");
+        restarted.started_ms = 5;
+        node.core.directory().put(restarted, at(1.3));
+    }
+    BOOST_TEST(open() == 2U);
+}
+
+/// Guards against requests to a server during the pause that it asked for, also when no other server is left.
+BOOST_AUTO_TEST_CASE(a_server_that_asked_for_a_pause_gets_nothing_before_its_end)
+{
+    served_node node;
+    response_info refusal;
+    refusal.status = 503;
+    refusal.not_run = true;
+    refusal.pause = std::chrono::seconds(3);
+    const relay_effects before = node.core.on_request(request_number(1), make_call("r", "/read/1"), at(1));
+    attempt_id attempt = first<start_attempt>(before)->attempt;
+    for (unsigned server = 0; server < 2; ++server) {
+        node.core.on_written(attempt);
+        static_cast<void>(node.core.on_response_head(attempt, refusal, at(1.1)));
+        const relay_effects next = node.core.on_failure(attempt, attempt_failure::not_run, "503", at(1.1));
+        if (const auto* again = first<start_attempt>(next)) {
+            attempt = again->attempt;
+        }
+    }
+    const relay_effects effects = node.core.on_request(request_number(2), make_call("s", "/read/1"), at(2));
+    BOOST_TEST(first<start_attempt>(effects) == nullptr);
+    BOOST_REQUIRE(first<reply>(effects) != nullptr);
+    BOOST_TEST(first<reply>(effects)->status == 503);
+    BOOST_TEST((first<reply>(effects)->retry_after == std::chrono::milliseconds(2100)));
+    static_cast<void>(node.core.on_tick(at(4.2)));
+    const relay_effects after = node.core.on_request(request_number(3), make_call("t", "/read/1"), at(4.2));
+    BOOST_TEST(first<start_attempt>(after) != nullptr);
+}
+
 /// Guards against keeping an engine's cached segments when a listing, read after an outage of the store,
 /// shows that the engine restarted or left.
 BOOST_AUTO_TEST_CASE(a_listing_with_a_restarted_engine_discards_its_cached_segments)
--- a/src/currantspar/relay/server_directory.cpp
+++ b/src/currantspar/relay/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "currantspar/relay/server_directory.hpp"
 
+#include <algorithm>
+
 namespace currantspar::relay {
 
 entry_change server_directory::put(const server_entry& entry, instant)
@@ -14,6 +16,9 @@
         return entry_change::none;
     }
     const bool closes = entry.draining && !position->second.draining;
+    if (entry.started_ms != position->second.started_ms) {
+        forget_responses(entry.id);
+    }
     position->second = entry;
     rebuild();
     return closes ? entry_change::closed : entry_change::changed;
@@ -31,6 +36,7 @@
     }
     missing_.erase(id);
     entries_.erase(found);
+    forget_responses(id);
     rebuild();
     return entry_change::closed;
 }
@@ -68,13 +74,64 @@
     retain_until_ = now + options_.outage_retention;
 }
 
+bool server_directory::on_leaving(const backend_id& id)
+{
+    const bool is_new = entries_.contains(id) && leaving_.insert(id).second;
+    if (is_new) {
+        rebuild();
+    }
+    return is_new;
+}
+
+bool server_directory::on_pause(const backend_id& id, instant until)
+{
+    if (!entries_.contains(id)) {
+        return false;
+    }
+    const auto [known, is_new] = paused_.try_emplace(id, until);
+    known->second = std::max(known->second, until);
+    if (is_new) {
+        rebuild();
+    }
+    return is_new;
+}
+
+std::optional<instant> server_directory::first_pause_end(const service_id& service) const
+{
+    std::optional<instant> first;
+    for (const auto& [id, until] : paused_) {
+        const server_entry* entry = find(id);
+        const bool returns = entry != nullptr && !entry->draining && !leaving_.contains(id);
+        if (returns && entry->service == service && (!first || until < *first)) {
+            first = until;
+        }
+    }
+    return first;
+}
+
+bool server_directory::is_open(const backend_id& id) const
+{
+    const server_entry* entry = find(id);
+    return entry != nullptr && !entry->draining && !leaving_.contains(id) && !paused_.contains(id);
+}
+
+void server_directory::forget_responses(const backend_id& id)
+{
+    leaving_.erase(id);
+    paused_.erase(id);
+}
+
 void server_directory::on_tick(instant now)
 {
+    if (std::erase_if(paused_, [&](const auto& each) { return now >= each.second; }) > 0) {
+        rebuild();
+    }
     if (missing_.empty() || retaining(now)) {
         return;
     }
     for (const backend_id& id : missing_) {
         entries_.erase(id);
+        forget_responses(id);
     }
     missing_.clear();
     rebuild();
@@ -102,7 +159,7 @@
 {
     open_.clear();
     for (const auto& [id, entry] : entries_) {
-        if (!entry.draining) {
+        if (is_open(id)) {
             open_[entry.service].push_back(entry);
         }
     }
