--- /dev/null
+++ b/src/currantspar/gateway/gateway_attempt.hpp
@@ -0,0 +1,59 @@
+#ifndef CURRANTSPAR_GATEWAY_GATEWAY_ATTEMPT_HPP
+#define CURRANTSPAR_GATEWAY_GATEWAY_ATTEMPT_HPP
+
+#include <string>
+#include <string_view>
+
+#include "currantspar/gateway/event_splitter.hpp"
+#include "gateway_node.hpp"
+
+namespace currantspar::gateway {
+
+/// One attempt at a server and the state of its response.
+class gateway_node::attempt : public exchange_sink
+{
+public:
+    attempt(gateway_node& node, const relay::start_attempt& effect)
+        : node_(node), number(effect.attempt), request(effect.request), stage(effect.stage),
+          request_id(effect.request_id), expects_stream(effect.stream)
+    {}
+
+    void connection_kept() override { on_kept_connection_ = true; }
+    void request_written() override { node_.core_.on_written(number); }
+
+    bool response_head(int status, const http_fields& head) override;
+    [[nodiscard]] bool limits_body() const override { return !streaming; }
+    void response_body(std::string_view bytes) override { node_.on_body(*this, bytes); }
+    void response_complete() override { node_.on_complete(*this); }
+    void request_failed(bool written, const std::string& detail) override
+    {
+        node_.on_failed(*this, written, detail);
+    }
+
+    /// True when the response may belong to an earlier request on the connection.
+    [[nodiscard]] bool is_ambiguous() const { return on_kept_connection_ && decoded.request_id.empty(); }
+
+    /// True for a success status that the server verifiably sent in response to this request.
+    [[nodiscard]] bool is_verified_success() const;
+
+private:
+    gateway_node& node_;
+    bool on_kept_connection_ = false;
+
+public:
+    attempt_id number;
+    relay::request_number request;
+    relay::attempt_stage stage;
+    std::string request_id;
+    bool expects_stream;
+    bool streaming = false;
+    exchange_id exchange = 0;
+    relay::response_info decoded;
+    http_fields fields;
+    std::string body;
+    event_splitter events;
+};
+
+} // namespace currantspar::gateway
+
+#endif
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -6,6 +6,7 @@
 #include "currantspar/base/hash.hpp"
 #include "currantspar/io/clock.hpp"
 #include "currantspar/io/log.hpp"
+#include "gateway_attempt.hpp"
 
 namespace currantspar::gateway {
 
@@ -13,8 +14,6 @@
 
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
-constexpr int first_non_success_status = 300;
-constexpr int status_misdirected = 421;
 /// The fraction of the retry budget that is used, because a node learns late how many nodes share it.
 constexpr double retry_margin = 0.8;
 /// From the stop signal until idle connections are closed; the load balancer has drained the node by then.
@@ -31,8 +30,6 @@
 constexpr duration speed_log_period = std::chrono::seconds(1);
 /// Relative to the value that was logged last.
 constexpr double min_logged_speed_change = 0.25;
-/// A larger event of a stream is taken for one that never ends.
-constexpr std::size_t max_event_bytes = 1048576;
 
 relay::relay_options to_options(const gateway_settings& settings)
 {
@@ -44,81 +41,8 @@
     return options;
 }
 
-http_fields forwarded_fields(const http_fields& fields)
-{
-    http_fields out;
-    std::copy_if(fields.begin(), fields.end(), std::back_inserter(out),
-                 [](const http_field& field) { return !is_connection_field(field.name); });
-    return out;
-}
-
 } // namespace
 
-/// One attempt at a server and the state of its response.
-class gateway_node::attempt : public exchange_sink
-{
-public:
-    attempt(gateway_node& node, const relay::start_attempt& effect)
-        : node_(node), number(effect.attempt), request(effect.request), stage(effect.stage),
-          request_id(effect.request_id), expects_stream(effect.stream)
-    {}
-
-    void connection_kept() override { on_kept_connection_ = true; }
-    void request_written() override { node_.core_.on_written(number); }
-
-    bool response_head(int status, const http_fields& head) override
-    {
-        decoded = node_.wire_.decode_response(status, head);
-        if (!decoded.request_id.empty() && decoded.request_id != request_id) {
-            io::log_event(io::log_level::warning, "foreign_answer_skipped",
-                          {{"request", request_id}, {"belongs_to", decoded.request_id}});
-            return false;
-        }
-        fields = forwarded_fields(head);
-        if (!is_ambiguous()) {
-            const instant now = io::monotonic_now();
-            node_.run(node_.core_.on_response_head(number, decoded, now), now);
-        }
-        node_.on_head(*this);
-        return true;
-    }
-
-    [[nodiscard]] bool limits_body() const override { return !streaming; }
-    void response_body(std::string_view bytes) override { node_.on_body(*this, bytes); }
-    void response_complete() override { node_.on_complete(*this); }
-    void request_failed(bool written, const std::string& detail) override
-    {
-        node_.on_failed(*this, written, detail);
-    }
-
-    /// True when the response may belong to an earlier request on the connection.
-    [[nodiscard]] bool is_ambiguous() const { return on_kept_connection_ && decoded.request_id.empty(); }
-
-    /// True for a success status that the server verifiably sent in response to this request.
-    [[nodiscard]] bool is_verified_success() const
-    {
-        return decoded.status >= status_ok && decoded.status < first_non_success_status &&
-               decoded.has_proof && !decoded.encoded && decoded.request_id == request_id;
-    }
-
-private:
-    gateway_node& node_;
-    bool on_kept_connection_ = false;
-
-public:
-    attempt_id number;
-    relay::request_number request;
-    relay::attempt_stage stage;
-    std::string request_id;
-    bool expects_stream;
-    bool streaming = false;
-    exchange_id exchange = 0;
-    relay::response_info decoded;
-    http_fields fields;
-    std::string body;
-    event_splitter events;
-};
-
 gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
     : wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)), servers_(reactor, {}),
       store_(reactor, {}),
@@ -373,98 +297,6 @@
     io::log_event(io::log_level::info, effect.event, fields);
 }
 
-// Servers.
-
-void gateway_node::on_head(attempt& from)
-{
-    if (from.expects_stream && from.is_verified_success()) {
-        const instant now = io::monotonic_now();
-        run(core_.on_stream_head(from.number, now), now);
-    }
-}
-
-void gateway_node::on_body(attempt& from, std::string_view bytes)
-{
-    if (!from.streaming) {
-        from.body.append(bytes);
-        return;
-    }
-    const std::string complete_events = from.events.push(bytes);
-    if (from.events.buffered_bytes() > max_event_bytes) {
-        on_failed(from, true, "event without end");
-        return;
-    }
-    if (complete_events.empty()) {
-        return;
-    }
-    if (const caller* to = find_caller(from.request); to != nullptr) {
-        to->connection->continue_response(complete_events);
-    }
-    const instant now = io::monotonic_now();
-    if (const auto first = core_.first_event(from.number, now)) {
-        metrics_.on_first_event(first->measured, first->predicted);
-    }
-    run(core_.on_events(from.number, from.events.last_id(), now), now);
-}
-
-void gateway_node::on_complete(attempt& from)
-{
-    const instant now = io::monotonic_now();
-    const attempt_id number = from.number;
-    const relay::response_info& decoded = from.decoded;
-    relay::relay_effects effects;
-    if (from.streaming) {
-        const bool has_events = !core_.first_event(number, now);
-        if (!from.events.at_event_end() || !has_events) {
-            effects = core_.on_failure(
-                number, relay::attempt_failure::lost,
-                has_events ? "stream truncated within an event" : "stream ended without an event", now);
-        } else {
-            effects = core_.on_stream_end(number, now);
-        }
-    } else if (from.is_ambiguous()) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost,
-                                   "response without an id on a kept connection", now);
-    } else if (decoded.not_run || decoded.status == status_misdirected) {
-        effects = core_.on_failure(number, relay::attempt_failure::not_run,
-                                   "status " + std::to_string(decoded.status), now);
-    } else if (from.stage == relay::attempt_stage::prefill_only) {
-        const auto handle = wire_.decode_kv_handle(from.body);
-        effects = decoded.status == status_ok && handle
-                      ? core_.on_prompt_prefilled(number, *handle, now)
-                      : core_.on_failure(number, relay::attempt_failure::lost,
-                                         "prefill failed: status " + std::to_string(decoded.status), now);
-    } else if (decoded.status < first_non_success_status && !from.is_verified_success()) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost, "unverified success response", now);
-    } else if (promises_not_run(decoded.status)) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost,
-                                   "unverified status " + std::to_string(decoded.status), now);
-    } else {
-        effects = core_.on_response(number, decoded, now);
-    }
-    run(effects, now);
-    retire(number);
-}
-
-void gateway_node::on_failed(attempt& from, bool written, const std::string& detail)
-{
-    const instant now = io::monotonic_now();
-    const attempt_id number = from.number;
-    const auto how = written ? relay::attempt_failure::lost : relay::attempt_failure::not_written;
-    run(core_.on_failure(number, how, detail, now), now);
-    retire(number);
-}
-
-void gateway_node::retire(attempt_id number)
-{
-    const auto found = attempts_.find(number);
-    if (found != attempts_.end()) {
-        servers_.cancel(found->second->exchange);
-        retired_.push_back(std::move(found->second));
-        attempts_.erase(found);
-    }
-}
-
 // Peers.
 
 void gateway_node::on_digest(const load_digest& digest, instant now)
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -55,6 +55,8 @@
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
     void connection_closed(caller_connection& closed) override;
+    /// Answers a request that arrived late during a stop as not run.
+    void refuse_while_stopping(caller_connection& from, const std::string& request_id);
     /// The callers' limits of the configuration in force.
     [[nodiscard]] relay::caller_limits limits() const;
     /// Closes connections whose request is overdue or that are idle too long; while stopping, once the load
@@ -87,8 +89,6 @@
     /// Sends what has changed to the peers, unless the last digest was sent too recently.
     void update_peers(instant now);
     /// Appends this node's entry to the shared store, by which its peers discover it.
-    /// Answers a request that arrived late during a stop as not run.
-    void refuse_while_stopping(caller_connection& from, const std::string& request_id);
     void announce(instant now);
     /// Logs a service's engine speed when the estimate has changed noticeably.
     void log_engine_speeds(instant now);
