--- a/src/currantspar/relay/relay_log.hpp
+++ b/src/currantspar/relay/relay_log.hpp
@@ -6,9 +6,11 @@
 #include <charconv>
 #include <chrono>
 #include <string>
+#include <string_view>
 
 #include "currantspar/base/time.hpp"
 #include "currantspar/relay/model.hpp"
+#include "currantspar/relay/relay_effect.hpp"
 
 namespace currantspar::relay {
 
@@ -18,6 +20,20 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+/// Returns an attempt's stage for a log field. Thread safe.
+inline std::string_view stage_name(attempt_stage stage)
+{
+    switch (stage) {
+    case attempt_stage::full_request:
+        return "whole";
+    case attempt_stage::prefill_only:
+        return "read_prompt";
+    case attempt_stage::decode_only:
+        return "take_over";
+    }
+    return "";
+}
+
 /// Returns a segment's id in hexadecimal, as callers write it, for a log field. Thread safe.
 inline std::string segment_text(std::uint64_t segment)
 {
