Don't blame requests for crashes that another one explains

Cause: each crash takes all requests of its engine along. Sound requests with a segment that is asked for rarely were lost in three crashes in a row; a deadly request only cleared the other segments of its own prompt, not those of requests lost beside it. They had also been running for 0.4 to 1.3 s, with events, when their engines crashed.

Change: a crash at which any request had a quarantined segment counts against no other segment, and a request whose first event came over 250 ms before is no evidence.

--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -32,6 +32,8 @@
     engine_choice_options engines{};
     admission_options admission{};
     segment_quarantine_options quarantine{};
+    /// An engine that crashes later than this after a request's first event did not crash because of it.
+    duration crash_after_first_event = std::chrono::milliseconds(250);
     duration min_time_left = std::chrono::milliseconds(8); ///< a request with less time left is not sent
     duration no_server_retry = std::chrono::milliseconds(700);
     duration full_retry = std::chrono::milliseconds(400);
@@ -167,6 +169,7 @@
         instant sent{};
         bool written = false;
         bool has_events = false;
+        instant first_event_at{};
         instant last_event_at{};
         duration longest_pause{};
         bool is_trial = false; ///< let through although it has a quarantined segment
--- a/include/currantspar/relay/segment_quarantine.hpp
+++ b/include/currantspar/relay/segment_quarantine.hpp
@@ -98,7 +98,7 @@
 /// A segment is quarantined after several engines crashed one after the other while they had a request with
 /// it, and no such request was completed in between. Crashes that overlap count once: what hits many engines
 /// at the same time isn't caused by one request. A crash that a quarantined segment explains counts against
-/// no other segment of the same request. Nodes share lost requests, completions and quarantines, so each
+/// no other segment. Nodes share lost requests, completions and quarantines, so each
 /// comes to the same belief. A quarantine ends when a request with the segment completes; to find out, one
 /// request is let through after first_quarantine, then after ever longer times. Not thread safe.
 class segment_quarantine
@@ -155,7 +155,9 @@
     [[nodiscard]] bool later_segment_recurs(const crashes& counted, segment_id segment) const;
     /// Returns the lost requests that count against a segment, one for each crash that followed the last.
     [[nodiscard]] crashes successive_crashes(segment_id segment) const;
+    /// Returns whether a request lost in the same crash has another segment that is quarantined.
     [[nodiscard]] bool explained_by_other(const lost_request& lost, segment_id segment) const;
+    [[nodiscard]] bool has_quarantined(const lost_request& lost, segment_id except) const;
     void start(segment_id segment, const crashes& counted, instant now);
     void start_trial(segment_id segment, instant now);
     void adopt(const quarantined_segment& reported, const std::string& peer, instant now);
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -297,6 +297,7 @@
     if (std::exchange(req.has_events, true)) {
         req.longest_pause = std::max(req.longest_pause, duration(now - req.last_event_at));
     } else {
+        req.first_event_at = now;
         engines_.on_prefilled(req.load_key, now);
         if (req.attempts_made <= attempts_without_retry) {
             admissions_.try_emplace(req.service, options_.admission)
--- a/src/currantspar/relay/relay_core_crashes.cpp
+++ b/src/currantspar/relay/relay_core_crashes.cpp
@@ -42,7 +42,9 @@
     // A draining server ends by itself, so that losses there say nothing about the requests.
     const bool crash_is_possible = server != nullptr && server->role && !server->draining;
     const std::vector<segment_id> segments = shared_segments(req.info);
-    if (!crash_is_possible || segments.empty()) {
+    const bool began_long_ago = req.has_events && req.first_event_at >= req.sent &&
+                                now - req.first_event_at > options_.crash_after_first_event;
+    if (!crash_is_possible || segments.empty() || began_long_ago) {
         return;
     }
     const auto [losses, added] = unexplained_.try_emplace(req.server);
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -243,6 +243,25 @@
     BOOST_TEST(first<start_attempt>(after) != nullptr);
 }
 
+/// Guards against blaming requests that an engine had been answering for a while when it crashed.
+BOOST_AUTO_TEST_CASE(only_requests_that_an_engine_has_just_begun_are_evidence_of_a_crash)
+{
+    for (const double crash_at : {1.3, 1.9}) {
+        served_node node;
+        const relay_effects effects =
+            node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
+        const relay_effects next =
+            node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, "h", at(1.1));
+        const attempt_id attempt = first<start_attempt>(next)->attempt;
+        node.core.on_written(attempt);
+        static_cast<void>(node.core.on_stream_head(attempt, at(1.15)));
+        static_cast<void>(node.core.on_events(attempt, "1", at(1.2)));
+        const relay_effects lost =
+            node.core.on_failure(attempt, attempt_failure::lost, "closed", at(crash_at));
+        BOOST_TEST((first<probe_server>(lost) != nullptr) == (crash_at < 1.4));
+    }
+}
+
 /// Guards against keeping an engine's cached segments when a listing, read after an outage of the store,
 /// shows that the engine restarted or left.
 BOOST_AUTO_TEST_CASE(a_listing_with_a_restarted_engine_discards_its_cached_segments)
--- a/src/currantspar/relay/segment_quarantine.cpp
+++ b/src/currantspar/relay/segment_quarantine.cpp
@@ -136,8 +136,18 @@
 
 bool segment_quarantine::explained_by_other(const lost_request& lost, segment_id segment) const
 {
-    return std::any_of(lost.segments.begin(), lost.segments.end(),
-                       [&](segment_id other) { return other != segment && quarantined_.contains(other); });
+    return std::any_of(evidence_.begin(), evidence_.end(), [&](const evidence& each) {
+        const bool same_crash =
+            each.lost.engine == lost.engine && each.lost.engine_started_ms == lost.engine_started_ms;
+        return same_crash && has_quarantined(each.lost, segment);
+    });
+}
+
+bool segment_quarantine::has_quarantined(const lost_request& lost, segment_id except) const
+{
+    return std::any_of(lost.segments.begin(), lost.segments.end(), [&](segment_id segment) {
+        return segment != except && quarantined_.contains(segment);
+    });
 }
 
 void segment_quarantine::start(segment_id segment, const crashes& counted, instant now)
--- a/src/currantspar/relay/segment_quarantine_test.cpp
+++ b/src/currantspar/relay/segment_quarantine_test.cpp
@@ -119,6 +119,31 @@
     BOOST_TEST(!refused(node, {common}, 4));
 }
 
+/// Guards against blaming the other requests of engines that a deadly one crashed: where few engines are
+/// left, requests that are running at all of them are lost again and again.
+BOOST_AUTO_TEST_CASE(requests_lost_beside_a_quarantined_segment_are_not_blamed)
+{
+    segment_quarantine node;
+    const auto lost_at = [](unsigned engine, unsigned number, std::vector<segment_id> segments) {
+        lost_request each = lost(number, std::move(segments));
+        each.engine = backend_id("engine-" + std::to_string(engine));
+        return each;
+    };
+    for (unsigned crash = 0; crash < 3; ++crash) {
+        std::vector<lost_request> all = {lost_at(crash, 10 + crash, {common, deadly})};
+        if (crash > 0) {
+            all.push_back(lost_at(crash, 20 + crash, {common, 30}));
+        }
+        node.on_crash(all, at(1 + crash));
+        node.on_completed(request_with({500}), at(1.5 + crash));
+    }
+    BOOST_TEST(refused(node, {deadly}, 4));
+    // Three crashes had it, two of them explained.
+    node.on_crash({lost(90, {common, 30})}, at(5));
+    node.on_completed(request_with({500}), at(5.5));
+    BOOST_TEST(!refused(node, {common, 30}, 6));
+}
+
 /// Guards against blaming what many engines had in common when they crashed at the same time.
 BOOST_AUTO_TEST_CASE(crashes_that_overlap_count_once)
 {
