Count explained crashes once, and name the quarantine's parts plainly

Cause: to judge one segment, each lost request was compared with every other one: quadratic in the evidence, which a mass crash fills. Prompts with more segments than are kept were judged by all of them.

Change: the crashes that others explain are collected once for a segment; only the segments that are kept are judged. Names and comments say crashing and sufficient; public members have comments.

Result: relay and gateway tests pass, unchanged but for names.

--- a/include/currantspar/relay/segment_quarantine.hpp
+++ b/include/currantspar/relay/segment_quarantine.hpp
@@ -8,12 +8,14 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "currantspar/relay/model.hpp"
 
 namespace currantspar::relay {
 
+/// Identifies a segment of prompts; requests with the same id share its KV cache.
 using segment_id = std::uint64_t;
 
 /// A request that was lost when the engine that had it crashed. Times are ages, so that a report can be sent
@@ -76,7 +78,7 @@
 struct segment_quarantine_options
 {
     unsigned crashes_to_quarantine = 3;
-    /// For a segment that other requests completed with before: it is then likely innocent.
+    /// For a segment that other requests completed with before: it is probably sound.
     unsigned crashes_if_completed_before = 6;
     duration evidence_ttl = std::chrono::seconds(30);
     duration completion_ttl = std::chrono::seconds(60);
@@ -98,9 +100,9 @@
 /// A segment is quarantined after several engines crashed one after the other while they had a request with
 /// it, and no such request was completed in between. Crashes that overlap count once: what hits many engines
 /// at the same time isn't caused by one request. A crash that a quarantined segment explains counts against
-/// no other segment. Nodes share lost requests, completions and quarantines, so each
-/// comes to the same belief. A quarantine ends when a request with the segment completes; to find out, one
-/// request is let through after first_quarantine, then after ever longer times. Not thread safe.
+/// no other segment. Nodes share lost requests, completions and quarantines, so each comes to the same
+/// belief. A quarantine ends when a request with the segment completes; to find out, one request is let
+/// through after first_quarantine, then after ever longer times. Not thread safe.
 class segment_quarantine
 {
 public:
@@ -110,6 +112,7 @@
     void on_crash(const std::vector<lost_request>& lost, instant now);
     /// A request was answered completely.
     void on_completed(const request_info& request, instant now);
+    /// A peer sent a report; one that is repeated, late or out of order does no harm.
     void on_peer_report(const std::string& peer, const quarantine_report& report, instant now);
     /// Sets this node's place among the live nodes, by which they take turns with trials.
     void set_rank(std::size_t rank) { rank_ = rank; }
@@ -121,8 +124,10 @@
     [[nodiscard]] quarantine_report make_report(bool full, instant now);
     /// Returns the changes since the last call.
     [[nodiscard]] std::vector<quarantine_change> take_changes();
+    /// Discards what has expired.
     void on_tick(instant now);
 
+    /// Returns the number of quarantined segments.
     [[nodiscard]] std::size_t size() const { return quarantined_.size(); }
 
 private:
@@ -144,19 +149,23 @@
         instant at{};
         instant reported{}; ///< when it was last marked as news for the peers
     };
+    /// An engine and its start.
+    using crash_id = std::pair<backend_id, std::int64_t>;
     using crashes = std::vector<const evidence*>;
 
     /// Returns whether the lost request wasn't known yet.
     bool add_evidence(const lost_request& lost, bool own, instant now);
+    /// Returns the most specific segments, as many as are considered.
+    [[nodiscard]] std::vector<segment_id> last_segments(const lost_request& lost) const;
     /// Quarantines a segment of the request if there is enough evidence against it.
     void evaluate(const lost_request& lost, instant now);
-    [[nodiscard]] bool convicted(const crashes& counted, segment_id segment) const;
+    [[nodiscard]] bool is_sufficient(const crashes& counted, segment_id segment) const;
     /// Returns whether a later segment is in several of the lost requests, and may be the cause instead.
     [[nodiscard]] bool later_segment_recurs(const crashes& counted, segment_id segment) const;
     /// Returns the lost requests that count against a segment, one for each crash that followed the last.
     [[nodiscard]] crashes successive_crashes(segment_id segment) const;
-    /// Returns whether a request lost in the same crash has another segment that is quarantined.
-    [[nodiscard]] bool explained_by_other(const lost_request& lost, segment_id segment) const;
+    /// Returns the crashes in which a request with another, quarantined segment was lost.
+    [[nodiscard]] std::set<crash_id> crashes_explained_by_others(segment_id segment) const;
     [[nodiscard]] bool has_quarantined(const lost_request& lost, segment_id except) const;
     void start(segment_id segment, const crashes& counted, instant now);
     void start_trial(segment_id segment, instant now);
--- a/src/currantspar/gateway/engine_crash_test.cpp
+++ b/src/currantspar/gateway/engine_crash_test.cpp
@@ -14,7 +14,7 @@
 using test::running_node;
 using test::scripted_response;
 
-constexpr char deadly_segment = '7';
+constexpr char crashing_segment = '7';
 
 std::string prompt(const std::string& id, const std::string& segments)
 {
@@ -22,11 +22,11 @@
            "\r\nContent-Length: 0\r\n\r\n";
 }
 
-/// Streams one event, or crashes on the deadly segment.
+/// Streams one event, or crashes on the segment that crashes engines.
 scripted_response generate(const http_request& from)
 {
     const std::string* segments = find_field(from.fields, "Segments");
-    if (segments != nullptr && segments->find(deadly_segment) != std::string::npos) {
+    if (segments != nullptr && segments->find(crashing_segment) != std::string::npos) {
         return {"", false, false, false, true};
     }
     return {"HTTP/1.1 200 OK\r\nId: " + id_of(from) +
@@ -70,11 +70,11 @@
             return io::monotonic_now() > until;
         });
     }
-    unsigned deadly_runs = 0;
+    unsigned crashed = 0;
     for (const auto& each : run.servers) {
-        deadly_runs += each->crashed() ? 1 : 0;
+        crashed += each->crashed() ? 1 : 0;
     }
-    BOOST_TEST(deadly_runs == max_crashes);
+    BOOST_TEST(crashed == max_crashes);
     BOOST_TEST(last.starts_with("HTTP/1.1 503"));
     BOOST_TEST(sound("after").starts_with("HTTP/1.1 200"));
 }
--- a/src/currantspar/relay/segment_quarantine.cpp
+++ b/src/currantspar/relay/segment_quarantine.cpp
@@ -60,33 +60,35 @@
         evidence_.pop_front();
     }
     evidence added{lost, before(now, lost.since_sent), before(now, lost.since_crash), own};
-    std::vector<segment_id>& segments = added.lost.segments;
-    if (segments.size() > options_.max_segments_per_request) {
-        // The last ones are the most specific.
-        segments.erase(segments.begin(),
-                       segments.end() - static_cast<std::ptrdiff_t>(options_.max_segments_per_request));
-    }
-    suspects_.insert(segments.begin(), segments.end());
+    added.lost.segments = last_segments(lost);
+    suspects_.insert(added.lost.segments.begin(), added.lost.segments.end());
     evidence_.push_back(std::move(added));
     return true;
 }
 
+std::vector<segment_id> segment_quarantine::last_segments(const lost_request& lost) const
+{
+    const std::size_t count = std::min(lost.segments.size(), options_.max_segments_per_request);
+    return {lost.segments.end() - static_cast<std::ptrdiff_t>(count), lost.segments.end()};
+}
+
 void segment_quarantine::evaluate(const lost_request& lost, instant now)
 {
+    const std::vector<segment_id> segments = last_segments(lost);
     // The last segments first: fewer other requests have them, so a wrong belief does less harm.
-    for (auto segment = lost.segments.rbegin(); segment != lost.segments.rend(); ++segment) {
+    for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
         if (quarantined_.contains(*segment)) {
             return;
         }
         const crashes counted = successive_crashes(*segment);
-        if (convicted(counted, *segment)) {
+        if (is_sufficient(counted, *segment)) {
             start(*segment, counted, now);
             return;
         }
     }
 }
 
-bool segment_quarantine::convicted(const crashes& counted, segment_id segment) const
+bool segment_quarantine::is_sufficient(const crashes& counted, segment_id segment) const
 {
     const unsigned needed =
         completed_.contains(segment) ? options_.crashes_if_completed_before : options_.crashes_to_quarantine;
@@ -114,12 +116,13 @@
 segment_quarantine::crashes segment_quarantine::successive_crashes(segment_id segment) const
 {
     const auto completed = completed_.find(segment);
+    const std::set<crash_id> explained = crashes_explained_by_others(segment);
     crashes candidates;
     for (const evidence& each : evidence_) {
         const auto& segments = each.lost.segments;
         const bool has_segment = std::find(segments.begin(), segments.end(), segment) != segments.end();
         const bool refuted = completed != completed_.end() && completed->second.at >= each.crashed;
-        if (has_segment && !refuted && !explained_by_other(each.lost, segment)) {
+        if (has_segment && !refuted && !explained.contains({each.lost.engine, each.lost.engine_started_ms})) {
             candidates.push_back(&each);
         }
     }
@@ -134,20 +137,24 @@
     return counted;
 }
 
-bool segment_quarantine::explained_by_other(const lost_request& lost, segment_id segment) const
+std::set<segment_quarantine::crash_id>
+segment_quarantine::crashes_explained_by_others(segment_id segment) const
 {
-    return std::any_of(evidence_.begin(), evidence_.end(), [&](const evidence& each) {
-        const bool same_crash =
-            each.lost.engine == lost.engine && each.lost.engine_started_ms == lost.engine_started_ms;
-        return same_crash && has_quarantined(each.lost, segment);
-    });
+    std::set<crash_id> explained;
+    for (const evidence& each : evidence_) {
+        if (has_quarantined(each.lost, segment)) {
+            explained.emplace(each.lost.engine, each.lost.engine_started_ms);
+        }
+    }
+    return explained;
 }
 
 bool segment_quarantine::has_quarantined(const lost_request& lost, segment_id except) const
 {
-    return std::any_of(lost.segments.begin(), lost.segments.end(), [&](segment_id segment) {
-        return segment != except && quarantined_.contains(segment);
-    });
+    return !quarantined_.empty() &&
+           std::any_of(lost.segments.begin(), lost.segments.end(), [&](segment_id segment) {
+               return segment != except && quarantined_.contains(segment);
+           });
 }
 
 void segment_quarantine::start(segment_id segment, const crashes& counted, instant now)
