Review: a log that isn't read stops its gateway

Cause: log lines are written with a blocking write() to standard output; a full pipe blocks the reactor's only thread.

Nothing of the software is changed.

--- a/review/2/reset_answer.cpp
+++ b/review/2/reset_answer.cpp
@@ -22,6 +22,8 @@
 constexpr unsigned server_count = 7;
 /// Within the limit of the configuration.
 constexpr std::size_t upload_bytes = 4190000;
+/// In bytes, of the links to the servers.
+constexpr int small_window = 65536;
 /// What a server has read of an upload when it begins to answer.
 constexpr auto early_read_time = milliseconds(5);
 constexpr auto answer_pause = milliseconds(60);
@@ -146,7 +148,7 @@
     for (unsigned place = 0; place < server_count; ++place) {
         servers.push_back(
             std::make_unique<server>(platform, "i-" + std::to_string(place), "desk", "", answer_early));
-        servers.back()->answer_before_body();
+        servers.back()->answer_before_body(small_window);
         servers.back()->open();
     }
     static std::vector<std::unique_ptr<node>> nodes;
--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -54,12 +54,16 @@
     return address;
 }
 
-/// Listens at a free loopback port, which `port` receives. Returns -1 on failure.
-inline int listen_on_loopback(std::uint16_t& port)
+/// Listens at a free loopback port, which `port` receives. `window` bounds the bytes that an accepted
+/// connection holds unread; 0: as the kernel likes. Returns -1 on failure.
+inline int listen_on_loopback(std::uint16_t& port, int window = 0)
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (window > 0) {
+        ::setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    }
     sockaddr_in address = loopback(port);
     socklen_t size = sizeof address;
     if (::bind(handle, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(handle, 512) != 0) {
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -27,9 +27,9 @@
 class listener
 {
 public:
-    void open(std::function<void(connection&)> serve)
+    void open(std::function<void(connection&)> serve, int window = 0)
     {
-        handle_ = listen_on_loopback(port_);
+        handle_ = listen_on_loopback(port_, window);
         std::thread([handle = handle_, serve = std::move(serve)] {
             for (;;) {
                 const int accepted = ::accept4(handle, nullptr, nullptr, SOCK_CLOEXEC);
@@ -247,7 +247,7 @@
         born_ms_ =
             std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                 .count();
-        listener_.open([this](connection& from) { serve(from); });
+        listener_.open([this](connection& from) { serve(from); }, window_);
         std::thread([this] {
             for (;;) {
                 announce();
@@ -258,8 +258,13 @@
 
     [[nodiscard]] const std::string& id() const { return id_; }
 
-    /// From now on requests are answered when their head has arrived; the handler reads the body.
-    void answer_before_body() { before_body_ = true; }
+    /// Answers requests when their head has arrived; the handler reads the body. The pages' links have small
+    /// windows, so that a server that doesn't read blocks the writer. Precondition: not open yet.
+    void answer_before_body(int window)
+    {
+        before_body_ = true;
+        window_ = window;
+    }
 
 private:
     static constexpr milliseconds heartbeat{1200};
@@ -358,6 +363,7 @@
     std::string id_;
     store& store_;
     bool before_body_ = false;
+    int window_ = 0;
     std::string service_;
     std::string stage_;
     handler answer_;
@@ -410,7 +416,8 @@
     node& operator=(const node&) = delete;
     ~node() { kill(); }
 
-    void start()
+    /// `output` receives what the process writes; -1: a file in the folder.
+    void start(int output = -1)
     {
         const std::vector<std::string> command = deploy_command();
         const std::string setting = "CURRANTSPAR_NODE_FILE=" + folder_ + "/" + name_ + ".conf";
@@ -418,7 +425,7 @@
         process_ = ::fork();
         if (process_ == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+            const int out = output >= 0 ? output : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
             std::vector<char*> words;
