--- a/review/1/endless_body.cpp
+++ b/review/1/endless_body.cpp
@@ -292,17 +292,23 @@
     for (std::thread& each : callers) {
         each.join();
     }
-    int result = held;
+    bool all_run = true;
+    unsigned late = 0;
+    unsigned unanswered = 0;
     for (std::size_t place = 0; place < nodes.size(); ++place) {
         const tally& of = tallies[place];
-        const bool breaks = of.late >= least_unanswered && 2 * of.unanswered > of.late;
         const bool runs = nodes[place]->runs();
         notes.add(nodes[place]->name() + ": " + std::to_string(of.sent) + " orders, " +
                   std::to_string(of.late) + " unanswered at the timeout, " + std::to_string(of.unanswered) +
                   " half a second later; " + (runs ? "runs" : "ended") + "; " +
                   (nodes[place]->is_ready() ? "ready" : "not ready"));
-        result = breaks || !runs ? broken : result;
+        late += of.late;
+        unanswered += of.unanswered;
+        all_run = all_run && runs;
     }
+    // The rule is about all machines in touch together.
+    const bool breaks = late >= least_unanswered && 2 * unanswered > late;
+    const int result = breaks || !all_run ? broken : held;
     for (const auto& each : nodes) {
         each->kill();
     }
@@ -313,11 +319,10 @@
 
 int main(int count, char** words)
 {
-    if (count != 2) {
+    if (count != 3) {
         return not_run;
     }
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(words[2]) != "0";
     const int result = play(trouble, words[1]);
     notes.add(result == held ? "held" : result == broken ? "broken" : "not run");
     std::cout << (result == held ? "held" : result == broken ? "broken" : "not run") << std::endl;
--- a/review/2/reset_answer.cpp
+++ b/review/2/reset_answer.cpp
@@ -1,12 +1,10 @@
 #include <cstdlib>
 #include <iostream>
-#include <random>
-#include <set>
 
 #include "../standins/platform.hpp"
 
 // Servers begin to answer long uploads before they have read them, in answers that end with their channel.
-// For some seconds, one of seven servers resets a part of its answers on the way. Looks for such answers that
+// For some seconds, one of eight servers resets a part of its answers on the way. Looks for such answers that
 // arrive as complete successes.
 
 namespace {
@@ -19,7 +17,7 @@
 constexpr auto trouble_time = milliseconds(6500);
 constexpr auto load_after = milliseconds(4000);
 constexpr unsigned requesters = 8;
-constexpr unsigned server_count = 7;
+constexpr unsigned server_count = 8;
 /// Within the limit of the configuration.
 constexpr std::size_t upload_bytes = 4190000;
 /// In bytes, of the links to the servers.
@@ -29,7 +27,7 @@
 constexpr auto answer_pause = milliseconds(60);
 /// The server that resets answers, and the share of them.
 const char* const troubled_server = "i-3";
-constexpr double reset_share = 0.45;
+constexpr unsigned reset_percent = 45;
 
 const char* const configuration = R"({"version":7,"routes":[
 {"name":"r-upload","host":"desk.example","path_prefix":"/upload/","type":"non_idempotent","timeout_ms":2500,
@@ -40,6 +38,7 @@
 record notes("review/2/record.txt");
 std::atomic<bool> in_trouble = false;
 std::atomic<bool> load_over = false;
+std::atomic<unsigned> troubled_answers = 0;
 std::atomic<unsigned> resets = 0;
 std::atomic<unsigned> whole = 0;
 std::atomic<unsigned> failed = 0;
@@ -50,10 +49,15 @@
     return "begin of the receipt for " + id + "; 5 plots of 5 are entered; end of the receipt for " + id;
 }
 
+/// Returns whether the answer of this number is reset: never more than the share of those so far.
+bool is_reset(unsigned number)
+{
+    return (number + 1) * reset_percent / 100 > number * reset_percent / 100;
+}
+
 /// Answers an upload whose body is still on its way, and reads on afterwards.
 bool answer_early(server& from, connection& to, const message& asked)
 {
-    thread_local std::mt19937 random(std::random_device{}());
     const std::string id = field(asked.head, "X-Attempt-Id");
     notes.add(from.id() + " ran " + id);
     const std::string body = answer_body(id);
@@ -61,8 +65,7 @@
     std::this_thread::sleep_for(early_read_time);
     to.send(write_head("HTTP/1.1 200 OK", head) + body.substr(0, body.size() / 2));
     std::this_thread::sleep_for(answer_pause);
-    const bool breaks = std::uniform_real_distribution<>(0, 1)(random) < reset_share;
-    if (in_trouble && from.id() == troubled_server && breaks) {
+    if (in_trouble && from.id() == troubled_server && is_reset(troubled_answers++)) {
         resets += 1;
         notes.add(from.id() + " resets the channel in the middle of its answer to " + id);
         to.reset();
@@ -195,11 +198,10 @@
 
 int main(int count, char** words)
 {
-    if (count != 2) {
+    if (count != 3) {
         return not_run;
     }
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(words[2]) != "0";
     const int result = play(trouble, words[1]);
     notes.add(result == held ? "held" : result == broken ? "broken" : "not run");
     std::cout << (result == held ? "held" : result == broken ? "broken" : "not run") << std::endl;
