Measure how late the node's periodic work begins, and log a stall

Cause: when a gateway serves nobody for seconds, its logs and metrics show nothing: the lines simply stop, as they would with slow servers or without callers.

Change: the histogram gateway_tick_delay_seconds, and the event reactor_stalled for a delay over 250 ms, with the requests that were open. Nothing else changes.

--- a/src/currantspar/gateway/gateway.cpp
+++ b/src/currantspar/gateway/gateway.cpp
@@ -85,6 +85,7 @@
             reload(node, wire);
         }
         if (now >= next_tick) {
+            node.on_tick_delay(now - next_tick);
             node.on_tick(now);
             next_tick = now + tick_period;
         }
--- a/src/currantspar/gateway/gateway_metrics.cpp
+++ b/src/currantspar/gateway/gateway_metrics.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+const prometheus::Histogram::BucketBoundaries delay_seconds = {0.001, 0.005, 0.025, 0.1, 0.25, 1, 4};
 const prometheus::Histogram::BucketBoundaries latency_seconds = {0.01, 0.025, 0.05, 0.1, 0.15, 0.3,
                                                                  0.5,  0.6,   1,    2,   4,    6};
 
@@ -33,6 +34,11 @@
             .Name("gateway_first_event_error_seconds")
             .Help("Difference of the measured and the predicted time to the first event")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& tick_delay =
+        prometheus::BuildHistogram()
+            .Name("gateway_tick_delay_seconds")
+            .Help("How much later than scheduled the node's periodic work began")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& requests =
         prometheus::BuildGauge()
             .Name("gateway_requests")
@@ -55,6 +61,7 @@
     prometheus::Histogram& ended = latency.Add({}, latency_seconds);
     prometheus::Histogram& first = first_event.Add({}, latency_seconds);
     prometheus::Histogram& error = prediction.Add({}, latency_seconds);
+    prometheus::Histogram& delayed = tick_delay.Add({}, delay_seconds);
 };
 
 gateway_metrics::gateway_metrics() : families_(std::make_unique<families>()) {}
@@ -72,6 +79,11 @@
     families_->error.Observe(std::abs(to_seconds(measured - predicted)));
 }
 
+void gateway_metrics::on_tick_delay(duration delay)
+{
+    families_->delayed.Observe(to_seconds(delay));
+}
+
 std::string gateway_metrics::text(const relay::relay_core& core, const gateway_counts& counts)
 {
     for (const auto& [key, count] : core.refusals()) {
--- a/src/currantspar/gateway/gateway_metrics.hpp
+++ b/src/currantspar/gateway/gateway_metrics.hpp
@@ -30,6 +30,8 @@
     void on_ended(duration after);
     /// Records the measured and the predicted time from a request's arrival to its stream's first event.
     void on_first_event(duration measured, duration predicted);
+    /// Records how much later than scheduled the node's periodic work began.
+    void on_tick_delay(duration delay);
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const relay::relay_core& core, const gateway_counts& counts);
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -27,6 +27,7 @@
 /// For the node's own calls, whose responses no request waits for.
 constexpr duration call_timeout = std::chrono::milliseconds(1500);
 constexpr duration announce_retry = std::chrono::seconds(2);
+constexpr duration min_logged_tick_delay = std::chrono::milliseconds(250);
 constexpr duration speed_log_period = std::chrono::seconds(1);
 /// Relative to the value that was logged last.
 constexpr double min_logged_speed_change = 0.25;
@@ -383,6 +384,17 @@
     metrics_server_.on_tick();
 }
 
+void gateway_node::on_tick_delay(duration delay)
+{
+    metrics_.on_tick_delay(delay);
+    if (delay > min_logged_tick_delay) {
+        const auto delay_ms = std::chrono::duration_cast<std::chrono::milliseconds>(delay);
+        io::log_event(io::log_level::warning, "reactor_stalled",
+                      {{"delay_ms", std::to_string(delay_ms.count())},
+                       {"open_requests", std::to_string(core_.open_requests())}});
+    }
+}
+
 void gateway_node::stop(instant now)
 {
     if (!std::exchange(stopping_, true)) {
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -38,6 +38,8 @@
     /// Applies the settings that may change at run time.
     void reload(const gateway_settings& new_settings);
     void on_tick(instant now);
+    /// Reports how much later than scheduled a tick comes: for so long nothing else was served either.
+    void on_tick_delay(duration delay);
     [[nodiscard]] bool done(instant now) const;
     /// True while requests can be served and the node isn't stopping.
     [[nodiscard]] bool ready() const;
