Read once an event, so that a fast server holds up no other connection

Cause: tcp_connection::handle_input() read as long as each recv() filled its buffer. A server that sends faster than the gateway parses and forwards keeps it there; the reactor reaches neither other handlers nor the tick with all deadlines.

Fix: one recv() an event. The reactor's descriptors are level-triggered and served in turn, so what is left comes in a later event, after the other connections and a due tick.

Test: one_event_reads_a_bounded_number_of_bytes, failed before.

--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -12,6 +12,9 @@
 
 namespace currantspar::gateway {
 
+/// The most that one event reads from a connection, so that a fast peer holds up no other.
+inline constexpr std::size_t max_read_bytes = 65536;
+
 /// A non-blocking TCP connection driven by one reactor. Not thread safe.
 class tcp_connection : public ACE_Event_Handler
 {
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = 65536;
 /// The kernel closes a connection whose peer doesn't acknowledge sent data for about this long.
 constexpr int user_timeout_ms = 2500;
 constexpr int keepalive_idle_s = 1;
@@ -144,24 +143,13 @@
 
 int tcp_connection::handle_input(ACE_HANDLE)
 {
-    static std::array<char, read_bytes> buffer;
-    while (is_open()) {
-        const ssize_t got = ::recv(stream_.get_handle(), buffer.data(), buffer.size(), 0);
-        if (got > 0) {
-            on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
-            if (static_cast<std::size_t>(got) < buffer.size()) {
-                break;
-            }
-            continue;
-        }
-        if (got < 0 && errno == EINTR) {
-            continue;
-        }
-        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            break;
-        }
+    // One read: the reactor calls again for what is left, after it has served the other connections.
+    static std::array<char, max_read_bytes> buffer;
+    const ssize_t got = ::recv(stream_.get_handle(), buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+        on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+    } else if (got == 0 || (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
         handle_disconnect(got < 0);
-        break;
     }
     return 0;
 }
--- /dev/null
+++ b/src/currantspar/gateway/tcp_connection_test.cpp
@@ -0,0 +1,82 @@
+#include "currantspar/gateway/tcp_connection.hpp"
+
+#include <array>
+#include <optional>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Reactor.h>
+#include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+
+#include "test_peer.hpp"
+
+namespace currantspar::gateway {
+
+namespace {
+
+constexpr std::size_t megabyte = 1048576;
+
+/// A connection that keeps what it is told.
+class recording_connection : public tcp_connection
+{
+public:
+    explicit recording_connection(ACE_Reactor& reactor) : tcp_connection(reactor) {}
+
+    using tcp_connection::connect;
+    using tcp_connection::write;
+
+    std::string received;
+    bool connected = false;
+    bool closed = false;
+
+protected:
+    void on_connected() override { connected = true; }
+    void on_bytes(std::string_view bytes) override { received.append(bytes); }
+    void on_closed(bool) override { closed = true; }
+};
+
+/// A reactor with a connection to a raw peer.
+struct connected_pair
+{
+    connected_pair()
+    {
+        BOOST_REQUIRE(connection.connect(*io::parse_address(peer.address())));
+        peer.accept();
+        run_until([this] { return connection.connected; });
+    }
+
+    void run_until(const std::function<bool()>& done)
+    {
+        for (int round = 0; round < 400 && !done(); ++round) {
+            ACE_Time_Value wait(0, 5000);
+            reactor.handle_events(wait);
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    ACE_Reactor reactor{new ACE_Dev_Poll_Reactor, true};
+    test::raw_peer peer;
+    recording_connection connection{reactor};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tcp_connection_tests)
+
+/// Guards against a peer that sends faster than its bytes are handled: its connection's handler never returned, and
+/// the reactor served nobody else.
+BOOST_AUTO_TEST_CASE(one_event_reads_a_bounded_number_of_bytes)
+{
+    connected_pair pair;
+    const int large = static_cast<int>(megabyte);
+    setsockopt(pair.connection.get_handle(), SOL_SOCKET, SO_RCVBUF, &large, sizeof large);
+    const std::size_t sent = pair.peer.send_until_blocked();
+    BOOST_REQUIRE(sent > 3 * max_read_bytes);
+    pair.connection.handle_input(pair.connection.get_handle());
+    BOOST_TEST(pair.connection.received.size() <= max_read_bytes);
+    pair.run_until([&] { return pair.connection.received.size() >= sent; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::gateway
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "currantspar/base/time.hpp"
 #include "currantspar/gateway/message_reader.hpp"
 
 namespace currantspar::gateway::test {
@@ -21,6 +22,7 @@
     bool hold = false;     ///< keep the connection open until the client closes it
     bool crash = false;    ///< close the connection and accept no further ones
     std::string endless{}; ///< sent after `bytes`, again and again, until the client closes the connection
+    duration endless_for = std::chrono::hours(1); ///< for so long at most
 };
 
 /// A server on a free loopback port whose responses a test scripts byte for byte.
@@ -72,11 +74,59 @@
     raw_caller& operator=(const raw_caller&) = delete;
 
     void disconnect();
+    [[nodiscard]] int handle() const { return connection_; }
 
 private:
     int connection_;
 };
 
+/// A caller that sends bytes and drops what it receives, on a thread of its own.
+class discarding_caller
+{
+public:
+    discarding_caller(const std::string& address, const std::string& bytes);
+    /// Closes the connection.
+    ~discarding_caller();
+    discarding_caller(const discarding_caller&) = delete;
+    discarding_caller& operator=(const discarding_caller&) = delete;
+
+    /// The number of bytes received.
+    [[nodiscard]] std::size_t received() const { return received_; }
+
+private:
+    raw_caller caller_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<std::size_t> received_ = 0;
+    std::thread thread_;
+};
+
+/// The other end of one connection, without a thread: each call acts at once.
+class raw_peer
+{
+public:
+    raw_peer();
+    ~raw_peer();
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    /// `127.0.0.1:port`, at which it listens.
+    [[nodiscard]] const std::string& address() const { return address_; }
+    /// Waits for the connection.
+    void accept();
+    void send(const std::string& bytes);
+    /// Sends until the kernel takes no more; returns the number of bytes.
+    std::size_t send_until_blocked();
+    /// Closes the connection in order: what was sent before arrives.
+    void close();
+    /// Resets the connection.
+    void reset();
+
+private:
+    std::string address_;
+    int listener_ = -1;
+    int connection_ = -1;
+};
+
 /// Sends bytes to `IP:port` and returns all bytes received until the connection ends or `enough` returns
 /// true.
 std::string exchange(const std::string& address, const std::string& bytes,
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "currantspar/io/address.hpp"
+#include "currantspar/io/clock.hpp"
 #include "currantspar/io/test_socket.hpp"
 
 // The scripted servers and callers of the gateway's tests; linked into the test program only.
@@ -110,7 +111,8 @@
         reader.emplace(reader_limits{});
         send_all(connection, next.bytes);
         holding = next.hold;
-        while (!stopping_ && !next.endless.empty()) {
+        const instant endless_until = io::monotonic_now() + next.endless_for;
+        while (!stopping_ && !next.endless.empty() && io::monotonic_now() < endless_until) {
             const ssize_t sent = ::send(connection, next.endless.data(), next.endless.size(), MSG_NOSIGNAL);
             if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
                 break;
@@ -153,6 +155,82 @@
     }
 }
 
+discarding_caller::discarding_caller(const std::string& address, const std::string& bytes)
+    : caller_(address, bytes), thread_([this] {
+          std::array<char, 65536> buffer{};
+          while (!stopping_) {
+              const ssize_t got = ::recv(caller_.handle(), buffer.data(), buffer.size(), 0);
+              if (got <= 0) {
+                  return;
+              }
+              received_ += static_cast<std::size_t>(got);
+          }
+      })
+{}
+
+discarding_caller::~discarding_caller()
+{
+    stopping_ = true;
+    ::shutdown(caller_.handle(), SHUT_RDWR);
+    thread_.join();
+}
+
+raw_peer::raw_peer()
+{
+    sockaddr_in local{};
+    listener_ = open_listener(local);
+    ::listen(listener_, 1);
+    address_ = to_text(local);
+}
+
+raw_peer::~raw_peer()
+{
+    close();
+    ::close(listener_);
+}
+
+void raw_peer::accept()
+{
+    connection_ = ::accept(listener_, nullptr, nullptr);
+}
+
+void raw_peer::send(const std::string& bytes)
+{
+    send_all(connection_, bytes);
+}
+
+std::size_t raw_peer::send_until_blocked()
+{
+    // Bytes that are under way make room again, so one refusal isn't the end.
+    constexpr int max_refusals = 20;
+    const std::string bytes(65536, 'x');
+    std::size_t total = 0;
+    for (int refusals = 0; refusals < max_refusals;) {
+        const ssize_t sent = ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0) {
+            total += static_cast<std::size_t>(sent);
+        } else {
+            refusals += 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+    return total;
+}
+
+void raw_peer::close()
+{
+    if (connection_ >= 0) {
+        ::close(std::exchange(connection_, -1));
+    }
+}
+
+void raw_peer::reset()
+{
+    const linger at_once{1, 0};
+    setsockopt(connection_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
 std::string exchange(const std::string& address, const std::string& bytes,
                      const std::function<bool(const std::string&)>& enough)
 {
