Bound what one peer can make one event do elsewhere too

- a caller's pipelined requests that are answered at once (unknown route, refusal): one event answered all that were buffered, up to 5 MiB of them.
Now 16 an event, the rest in the next ticks.
- the listener accepted as long as connections came.
Now 16 an event.
- the datagrams of peers were read as long as they came.
Now 64 an event.
A datagram without content ended the event too; it is skipped now.
- each byte of a long event searched all that was buffered of it again, so a server that drips one event of up to 1 MiB cost the square of its size.
Now only the new bytes are searched.

Bounded already: flush() by what is buffered, interim responses and responses to other requests by their number.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -52,6 +52,8 @@
     /// Answers a request that arrives too slowly with an error, and closes a connection that is idle too
     /// long.
     void check_time(const relay::caller_limits& limits, instant now);
+    /// Goes on with pipelined requests that one event left.
+    void on_tick();
     /// Closes the connection when no request is open or partly received and no output is unsent.
     void close_if_idle();
 
@@ -63,6 +65,8 @@
     void on_closed(bool reset) override;
 
 private:
+    /// True when received bytes wait to be parsed and no request is open.
+    [[nodiscard]] bool has_unread_request() const;
     void read_request();
     void refuse(int status);
     void on_response_finished();
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t max_pipelined_bytes = 1048576;
 /// The connection is closed when its caller leaves more output than this unread.
 constexpr std::size_t max_unsent_bytes = 8388608;
+/// Pipelined requests that one event answers, when each is answered at once; the rest follows in the next ticks.
+constexpr int max_requests_at_once = 16;
 
 int to_status(read_progress problem)
 {
@@ -50,13 +52,25 @@
     read_request();
 }
 
+bool caller_connection::has_unread_request() const
+{
+    return is_open() && !closing_ && !request_open_ && !in_.empty();
+}
+
+void caller_connection::on_tick()
+{
+    if (has_unread_request()) {
+        read_request();
+    }
+}
+
 void caller_connection::read_request()
 {
     if (parsing_) {
         return;
     }
     parsing_ = true;
-    while (is_open() && !closing_ && !request_open_ && !in_.empty()) {
+    for (int count = 0; count < max_requests_at_once && has_unread_request(); ++count) {
         if (!reader_) {
             reader_.emplace(limits_);
             continue_sent_ = false;
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -28,6 +28,15 @@
     return open;
 }
 
+void caller_server::on_tick()
+{
+    closed_.clear();
+    // A connection that closes itself meanwhile is freed in the next tick.
+    for (caller_connection* connection : connections()) {
+        connection->on_tick();
+    }
+}
+
 void caller_server::accept(ACE_SOCK_Stream& accepted)
 {
     caller_sink& self = *this;
--- a/src/currantspar/gateway/caller_server.hpp
+++ b/src/currantspar/gateway/caller_server.hpp
@@ -31,8 +31,8 @@
     /// All open connections.
     [[nodiscard]] std::vector<caller_connection*> connections() const;
     [[nodiscard]] std::size_t size() const { return connections_.size(); }
-    /// Frees closed connections.
-    void on_tick() { closed_.clear(); }
+    /// Frees closed connections, and lets the others go on with pipelined requests.
+    void on_tick();
 
 private:
     void accept(ACE_SOCK_Stream& accepted);
--- a/src/currantspar/gateway/event_splitter.cpp
+++ b/src/currantspar/gateway/event_splitter.cpp
@@ -9,22 +9,33 @@
 
 constexpr std::string_view id_field = "id:";
 
-/// The position after the last blank line; 0 when there is none.
-std::size_t last_event_end(std::string_view text)
+constexpr std::string_view blank_line = "\n\n";
+constexpr std::string_view blank_line_with_returns = "\r\n\r\n";
+
+/// The position after the last blank line that ends after `from`; 0 when there is none.
+std::size_t last_event_end(std::string_view text, std::size_t from)
 {
-    const std::size_t plain = text.rfind("\n\n");
-    const std::size_t with_returns = text.rfind("\r\n\r\n");
-    const std::size_t plain_end = plain == std::string_view::npos ? 0 : plain + 2;
-    const std::size_t returns_end = with_returns == std::string_view::npos ? 0 : with_returns + 4;
-    return std::max(plain_end, returns_end);
+    const std::size_t overlap = blank_line_with_returns.size() - 1;
+    const std::size_t begin = from - std::min(from, overlap);
+    const std::string_view recent = text.substr(begin);
+    std::size_t end = 0;
+    for (const std::string_view separator : {blank_line, blank_line_with_returns}) {
+        const std::size_t found = recent.rfind(separator);
+        if (found != std::string_view::npos) {
+            end = std::max(end, begin + found + separator.size());
+        }
+    }
+    return end;
 }
 
 } // namespace
 
 std::string event_splitter::push(std::string_view bytes)
 {
+    // What was buffered before holds no blank line, so only the new bytes are searched.
+    const std::size_t searched = incomplete_.size();
     incomplete_.append(bytes);
-    const std::size_t end = last_event_end(incomplete_);
+    const std::size_t end = last_event_end(incomplete_, searched);
     if (end == 0) {
         return {};
     }
--- a/src/currantspar/gateway/listener.cpp
+++ b/src/currantspar/gateway/listener.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int backlog = 512;
+/// Connections that one event accepts; the rest follows after the other events.
+constexpr int max_accepts = 16;
 
 } // namespace
 
@@ -54,7 +56,8 @@
 {
     ACE_SOCK_Stream accepted;
     ACE_Time_Value at_once = ACE_Time_Value::zero;
-    while (acceptor_.accept(accepted, nullptr, &at_once, false) == 0) {
+    for (int count = 0; count < max_accepts && acceptor_.accept(accepted, nullptr, &at_once, false) == 0;
+         ++count) {
         accepted_(accepted);
         accepted.close();
     }
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t datagram_bytes = 16384;
+/// Datagrams that one event reads; the rest follows after the other events.
+constexpr int max_datagrams = 64;
 
 } // namespace
 
@@ -136,14 +138,15 @@
 int peer_link::handle_input(ACE_HANDLE)
 {
     static std::array<char, datagram_bytes> buffer;
-    for (;;) {
+    for (int count = 0; count < max_datagrams; ++count) {
         ACE_INET_Addr from;
         const ssize_t got = socket_.recv(buffer.data(), buffer.size(), from, MSG_DONTWAIT);
-        if (got <= 0) {
-            return 0;
+        if (got < 0) {
+            break;
         }
         receive(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
     }
+    return 0;
 }
 
 void peer_link::receive(std::string_view bytes)
