Carry the error that ended a connection, and log why a caller's ended

Cause: a connection told its owner only whether it was reset. Logs couldn't tell a caller who left from one whose connection timed out in the kernel or was closed by this node, nor a refused connect from an unreachable network.

Change: on_closed() gets the error; caller_gone has a field detail, attempt_failed names the error. A connect that failed for another reason than a refusal no longer counts as the crash of a server: one call (SO_ERROR) took the error and the probe reported refused for all of them.

Tests: a_caller_that_disconnected_has_its_attempt_cancelled_at_once checks the detail; gateway and relay tests pass.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -45,7 +45,9 @@
     void continue_response(std::string_view bytes);
     void end_response();
     /// Closes at once; without the last chunk the caller sees that a streamed response is truncated.
-    void abort();
+    void abort(std::string_view reason);
+    /// Why the connection was closed; empty before that.
+    [[nodiscard]] const std::string& close_reason() const { return close_reason_; }
 
     [[nodiscard]] bool has_request() const { return request_open_; }
     [[nodiscard]] bool has_begun_response() const { return response_begun_; }
@@ -62,7 +64,7 @@
 protected:
     void on_bytes(std::string_view bytes) override;
     void on_sent() override;
-    void on_closed(bool reset) override;
+    void on_closed(std::error_code problem) override;
 
 private:
     /// True when received bytes wait to be parsed and no request is open.
@@ -76,6 +78,7 @@
     reader_limits limits_;
     std::optional<request_reader> reader_;
     std::string in_;
+    std::string close_reason_;
     bool request_open_ = false;
     bool response_begun_ = false;
     bool close_after_ = false;
--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Stream.h>
@@ -48,14 +49,14 @@
     /// The kernel accepted bytes of this connection.
     virtual void on_sent() {}
     virtual void on_bytes(std::string_view bytes) = 0;
-    /// The peer closed the connection (`reset` false) or it failed. The socket is closed already.
-    virtual void on_closed(bool reset) = 0;
+    /// The peer closed the connection in order (`problem` empty) or it failed. The socket is closed already.
+    virtual void on_closed(std::error_code problem) = 0;
 
 private:
     void set_options();
     bool flush();
     void set_write_interest(bool enabled);
-    void handle_disconnect(bool reset);
+    void handle_disconnect(std::error_code problem);
 
     ACE_Reactor& reactor_;
     ACE_SOCK_Stream stream_;
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -102,7 +102,9 @@
     // Callers.
 
     [[nodiscard]] relay_effects on_request(request_number number, request_info info, instant now);
-    [[nodiscard]] relay_effects on_caller_disconnected(request_number number, instant now);
+    /// The caller's connection ended before its response; `detail` says why, for the log.
+    [[nodiscard]] relay_effects on_caller_disconnected(request_number number, const std::string& detail,
+                                                       instant now);
 
     // Servers.
 
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -46,7 +46,7 @@
     }
     in_.append(bytes);
     if (in_.size() > max_pipelined_bytes + limits_.body_bytes) {
-        abort();
+        abort("too many pipelined bytes");
         return;
     }
     read_request();
@@ -140,7 +140,7 @@
     }
     write(write_chunk(bytes));
     if (unsent() > max_unsent_bytes) {
-        abort();
+        abort("too much unread output");
     }
 }
 
@@ -177,13 +177,15 @@
     }
 }
 
-void caller_connection::abort()
+void caller_connection::abort(std::string_view reason)
 {
+    close_reason_ = reason;
     close_and_notify();
 }
 
-void caller_connection::on_closed(bool)
+void caller_connection::on_closed(std::error_code problem)
 {
+    close_reason_ = problem ? problem.message() : "closed by the caller";
     sink_.connection_closed(*this);
 }
 
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -15,7 +15,7 @@
 {
     listener_.close();
     while (!connections_.empty()) {
-        connections_.begin()->first->abort();
+        connections_.begin()->first->abort("the front closes");
     }
 }
 
--- a/src/currantspar/gateway/connect_probe.cpp
+++ b/src/currantspar/gateway/connect_probe.cpp
@@ -43,7 +43,12 @@
         finish(relay::probe_result::connected);
     }
     void on_bytes(std::string_view) override {}
-    void on_closed(bool) override { finish(relay::probe_result::refused); }
+    void on_closed(std::error_code problem) override
+    {
+        // Other errors, such as an unreachable network, say nothing about the server's process.
+        finish(problem == std::errc::connection_refused ? relay::probe_result::refused
+                                                        : relay::probe_result::timed_out);
+    }
 
 private:
     void finish(relay::probe_result result)
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -156,7 +156,7 @@
 {
     if (closed.has_request() && callers_.erase(closed.number) > 0) {
         const instant now = io::monotonic_now();
-        run(core_.on_caller_disconnected(closed.number, now), now);
+        run(core_.on_caller_disconnected(closed.number, closed.close_reason(), now), now);
     }
 }
 
@@ -238,7 +238,7 @@
 void gateway_node::apply(const relay::abort_response& effect, instant now)
 {
     if (caller_connection* connection = finish_caller(effect.request, now)) {
-        connection->abort();
+        connection->abort("response aborted");
     }
 }
 
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -107,18 +107,29 @@
         read_responses();
     }
 
-    void on_closed(bool reset) override
+    void on_closed(std::error_code problem) override
     {
-        if (sink_ != nullptr && !reset && reader_->end_of_connection() && head_delivered_ && !skipping_) {
+        if (sink_ != nullptr && !problem && reader_->end_of_connection() && head_delivered_ && !skipping_) {
             pool_.drop(*this);
             exchange_sink* sink = std::exchange(sink_, nullptr);
             sink->response_complete();
             return;
         }
-        fail(!connected_ ? "connect failed" : reset ? "connection reset" : "connection closed");
+        fail(failure_detail(problem));
     }
 
 private:
+    [[nodiscard]] std::string failure_detail(std::error_code problem) const
+    {
+        if (!connected_) {
+            return "connect failed: " + problem.message();
+        }
+        if (problem == std::errc::connection_reset) {
+            return "connection reset";
+        }
+        return problem ? "connection failed: " + problem.message() : "connection closed";
+    }
+
     void read_responses()
     {
         while (sink_ != nullptr) {
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -18,6 +18,11 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
+std::error_code to_error(int problem)
+{
+    return {problem, std::generic_category()};
+}
+
 template <typename Value>
 void set_option(ACE_SOCK_Stream& stream, int level, int name, Value value)
 {
@@ -135,10 +140,10 @@
     stream_.close();
 }
 
-void tcp_connection::handle_disconnect(bool reset)
+void tcp_connection::handle_disconnect(std::error_code problem)
 {
     close();
-    on_closed(reset);
+    on_closed(problem);
 }
 
 int tcp_connection::handle_input(ACE_HANDLE)
@@ -149,7 +154,7 @@
     if (got > 0) {
         on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
     } else if (got == 0 || (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
-        handle_disconnect(got < 0);
+        handle_disconnect(to_error(got < 0 ? errno : 0));
     }
     return 0;
 }
@@ -159,8 +164,11 @@
     if (connecting_) {
         int problem = 0;
         int size = sizeof problem;
-        if (stream_.get_option(SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0) {
-            handle_disconnect(true);
+        if (stream_.get_option(SOL_SOCKET, SO_ERROR, &problem, &size) != 0) {
+            problem = errno;
+        }
+        if (problem != 0) {
+            handle_disconnect(to_error(problem));
             return 0;
         }
         connecting_ = false;
--- a/src/currantspar/gateway/tcp_connection_test.cpp
+++ b/src/currantspar/gateway/tcp_connection_test.cpp
@@ -27,12 +27,12 @@
 
     std::string received;
     bool connected = false;
-    bool closed = false;
+    std::optional<std::error_code> closed; ///< how, once it is
 
 protected:
     void on_connected() override { connected = true; }
     void on_bytes(std::string_view bytes) override { received.append(bytes); }
-    void on_closed(bool) override { closed = true; }
+    void on_closed(std::error_code problem) override { closed = problem; }
 };
 
 /// A reactor with a connection to a raw peer.
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -116,7 +116,8 @@
     void send(const std::string& bytes);
     /// Sends until the kernel takes no more; returns the number of bytes.
     std::size_t send_until_blocked();
-    /// Closes the connection in order: what was sent before arrives.
+    /// Ends its side of the connection in order, and can still receive.
+    void shut_down_sending();
     void close();
     /// Resets the connection.
     void reset();
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -217,6 +217,11 @@
     return total;
 }
 
+void raw_peer::shut_down_sending()
+{
+    ::shutdown(connection_, SHUT_WR);
+}
+
 void raw_peer::close()
 {
     if (connection_ >= 0) {
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -136,7 +136,8 @@
     return out;
 }
 
-relay_effects relay_core::on_caller_disconnected(request_number number, instant now)
+relay_effects relay_core::on_caller_disconnected(request_number number, const std::string& detail,
+                                                 instant now)
 {
     relay_effects out;
     const auto it = requests_.find(number);
@@ -154,7 +155,8 @@
     accounts_[req.service].caller_gone += 1;
     out.push_back(log_decision{"caller_gone",
                                req.info.id,
-                               {{"after_ms", milliseconds_text(now - req.arrived)},
+                               {{"detail", detail},
+                                {"after_ms", milliseconds_text(now - req.arrived)},
                                 {"server", req.server.str()},
                                 {"last_event", req.last_event}}});
     requests_.erase(it);
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -170,7 +170,10 @@
 {
     served_node node;
     const attempt_id attempt = node.sent(make_call("r", "/read/1"));
-    const relay_effects effects = node.core.on_caller_disconnected(request_number(node.last), at(1.05));
+    const relay_effects effects = node.core.on_caller_disconnected(request_number(node.last), "Connection timed out", at(1.05));
+    const log_decision* logged = first<log_decision>(effects);
+    BOOST_REQUIRE(logged != nullptr);
+    BOOST_TEST((logged->fields.front() == std::pair<std::string, std::string>("detail", "Connection timed out")));
     BOOST_REQUIRE(first<cancel_attempt>(effects) != nullptr);
     BOOST_TEST((first<cancel_attempt>(effects)->attempt == attempt));
     BOOST_TEST(node.core.open_requests() == 0U);
@@ -472,7 +475,7 @@
     const attempt_id lost = node.sent(make_call("r2", "/once/1"));
     static_cast<void>(node.core.on_failure(lost, attempt_failure::lost, "reset", at(1.1)));
     node.sent(make_call("r3", "/once/1"));
-    static_cast<void>(node.core.on_caller_disconnected(request_number(node.last), at(1.2)));
+    static_cast<void>(node.core.on_caller_disconnected(request_number(node.last), "", at(1.2)));
     node.sent(make_call("r4", "/once/1"));
     const core::ledger_account& account = node.core.accounts().at(service_id("desk"));
     BOOST_TEST(account.accepted == 4U);
