--- a/src/currantspar/gateway/fairness_test.cpp
+++ b/src/currantspar/gateway/fairness_test.cpp
@@ -36,7 +36,8 @@
 
 BOOST_AUTO_TEST_SUITE(fairness_tests)
 
-/// Guards against a caller who pipelines thousands of requests that are answered at once: one event answered all.
+/// Guards against a caller who pipelines thousands of requests that are answered at once: one event answered
+/// all.
 BOOST_AUTO_TEST_CASE(one_event_answers_a_bounded_number_of_pipelined_requests)
 {
     constexpr int pipelined = 500;
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -308,19 +308,20 @@
     BOOST_TEST(run.servers.front()->requests() == 0U);
 }
 
-/// A node that serves nobody for seconds must show in its metrics, or such a hang can't be told from slow servers.
+/// A node that serves nobody for seconds must show in its metrics, or such a hang can't be told from slow
+/// servers.
 BOOST_AUTO_TEST_CASE(the_delay_of_ticks_is_among_the_metrics)
 {
     running_node run({echo}, running_node::store_response,
                      [](fake_protocol& wire) { wire.settings.metrics_address = test::free_address(); });
     run.node->on_tick_delay(std::chrono::seconds(5));
-    auto scrape = std::async(std::launch::async, test::exchange, run.wire.settings.metrics_address,
-                             std::string("GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n"),
-                             [](const std::string& received) {
-                                 return received.find("gateway_tick_delay_seconds_sum 5\n") != std::string::npos;
-                             });
-    BOOST_TEST(run.run_until(
-        [&] { return scrape.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
+    auto scrape =
+        std::async(std::launch::async, test::exchange, run.wire.settings.metrics_address,
+                   std::string("GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n"), [](const std::string& received) {
+                       return received.find("gateway_tick_delay_seconds_sum 5\n") != std::string::npos;
+                   });
+    BOOST_TEST(
+        run.run_until([&] { return scrape.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
     BOOST_TEST(scrape.get().find("gateway_tick_delay_seconds_sum 5\n") != std::string::npos);
 }
 
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -170,10 +170,12 @@
 {
     served_node node;
     const attempt_id attempt = node.sent(make_call("r", "/read/1"));
-    const relay_effects effects = node.core.on_caller_disconnected(request_number(node.last), "Connection timed out", at(1.05));
+    const relay_effects effects =
+        node.core.on_caller_disconnected(request_number(node.last), "Connection timed out", at(1.05));
     const log_decision* logged = first<log_decision>(effects);
     BOOST_REQUIRE(logged != nullptr);
-    BOOST_TEST((logged->fields.front() == std::pair<std::string, std::string>("detail", "Connection timed out")));
+    BOOST_TEST(
+        (logged->fields.front() == std::pair<std::string, std::string>("detail", "Connection timed out")));
     BOOST_REQUIRE(first<cancel_attempt>(effects) != nullptr);
     BOOST_TEST((first<cancel_attempt>(effects)->attempt == attempt));
     BOOST_TEST(node.core.open_requests() == 0U);
