Report a reset as one also when a send finds it first

Cause: flush() left the error of a failed send() to the recv() that follows. But send() takes the pending error off the socket; recv() then finds the end of the stream, as after an orderly close, and a response that ends with its connection counted as complete. It needs request bytes that are unsent when the reset arrives.

Evidence: the new test writes more than the kernel takes, has the peer send a part and reset, and calls handle_output() first, as the reactor does: before the change the connection ended in order.

Ruled out: the parser (a cut response with a length or in chunks was never complete); the order of events (with handle_input() first the reset was seen).

Fix: flush() keeps the first error, and the end that recv() finds is reported with it, after all bytes that came before. EPIPE is the exception: the kernel gives it only after the peer's orderly end.

Tests: a_reset_that_a_send_finds_first_is_no_orderly_end, failed before; an_orderly_end_is_one_whatever_a_later_send_finds.

--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -64,6 +64,7 @@
     std::size_t out_sent_ = 0;
     bool connecting_ = false;
     bool write_interest_ = false;
+    std::error_code send_problem_; ///< that ended the connection, found by a send
 };
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -94,7 +94,9 @@
                 continue;
             }
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                // The error is left to handle_input(), so that bytes that the peer sent before aren't lost.
+                // handle_input() reports it, after the bytes that the peer sent before. EPIPE follows an
+                // orderly end.
+                send_problem_ = errno == EPIPE ? send_problem_ : to_error(errno);
                 out_.clear();
                 out_sent_ = 0;
                 break;
@@ -154,7 +156,8 @@
     if (got > 0) {
         on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
     } else if (got == 0 || (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
-        handle_disconnect(to_error(got < 0 ? errno : 0));
+        // A failed send() has taken the error from the socket, and recv() then finds an orderly end.
+        handle_disconnect(got < 0 ? to_error(errno) : send_problem_);
     }
     return 0;
 }
--- a/src/currantspar/gateway/tcp_connection_test.cpp
+++ b/src/currantspar/gateway/tcp_connection_test.cpp
@@ -63,8 +63,8 @@
 
 BOOST_AUTO_TEST_SUITE(tcp_connection_tests)
 
-/// Guards against a peer that sends faster than its bytes are handled: its connection's handler never returned, and
-/// the reactor served nobody else.
+/// Guards against a peer that sends faster than its bytes are handled: its connection's handler never
+/// returned, and the reactor served nobody else.
 BOOST_AUTO_TEST_CASE(one_event_reads_a_bounded_number_of_bytes)
 {
     connected_pair pair;
@@ -77,6 +77,33 @@
     pair.run_until([&] { return pair.connection.received.size() >= sent; });
 }
 
+/// Guards against a reset that is taken for the orderly end of a connection: a response without a length,
+/// reset on the way, reached its caller as a whole one. The send() that fails takes the error, and recv()
+/// then finds an end.
+BOOST_AUTO_TEST_CASE(a_reset_that_a_send_finds_first_is_no_orderly_end)
+{
+    connected_pair pair;
+    pair.connection.write(std::string(16 * megabyte, 'x'));
+    BOOST_REQUIRE(pair.connection.unsent() > 0);
+    pair.peer.send("part");
+    pair.peer.reset();
+    // The reactor calls handle_output() first when both are due.
+    pair.connection.handle_output(pair.connection.get_handle());
+    pair.run_until([&] { return pair.connection.closed.has_value(); });
+    BOOST_TEST((*pair.connection.closed == std::errc::connection_reset));
+}
+
+/// What a peer sent before it closed in order is whole, although it didn't read all that was sent to it.
+BOOST_AUTO_TEST_CASE(an_orderly_end_is_one_whatever_a_later_send_finds)
+{
+    connected_pair pair;
+    pair.peer.send("whole");
+    pair.peer.shut_down_sending();
+    pair.run_until([&] { return pair.connection.closed.has_value(); });
+    BOOST_TEST(pair.connection.received == "whole");
+    BOOST_TEST(!*pair.connection.closed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
