Don't close an idle connection while a request waits to be read

Cause: the idle check, every 250 ms and 2.6 s after a stop signal, judged a connection by what the node had read. While the node is busy, or out of its share of the processor, a whole request can wait in the kernel; close() then resets it.

Fix: a connection with unread bytes isn't idle; the reactor reads them next. One peek before a close, nothing else.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -56,7 +56,8 @@
     void check_time(const relay::caller_limits& limits, instant now);
     /// Goes on with pipelined requests that one event left.
     void on_tick();
-    /// Closes the connection when no request is open or partly received and no output is unsent.
+    /// Closes the connection when no request is open, partly received or waits to be read, and no output is
+    /// unsent.
     void close_if_idle();
 
     relay::request_number number; ///< of the open request
--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -25,6 +25,8 @@
     ~tcp_connection() override;
 
     [[nodiscard]] bool is_open() const { return stream_.get_handle() != ACE_INVALID_HANDLE; }
+    /// True when bytes of the peer wait in the kernel to be read.
+    [[nodiscard]] bool has_unread_input() const;
     /// The number of bytes passed to write() that the kernel hasn't accepted yet.
     [[nodiscard]] std::size_t unsent() const { return out_.size() - out_sent_; }
 
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t max_pipelined_bytes = 1048576;
 /// The connection is closed when its caller leaves more output than this unread.
 constexpr std::size_t max_unsent_bytes = 8388608;
-/// Pipelined requests that one event answers, when each is answered at once; the rest follows in the next ticks.
+/// Pipelined requests that one event answers, when each is answered at once; the rest follows in the next
+/// ticks.
 constexpr int max_requests_at_once = 16;
 
 int to_status(read_progress problem)
@@ -202,7 +203,7 @@
     }
     if (!reader_ && in_.empty()) {
         if (now - since_ > limits.idle_timeout) {
-            close_and_notify();
+            close_if_idle();
         }
         return;
     }
@@ -215,7 +216,8 @@
 
 void caller_connection::close_if_idle()
 {
-    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0) {
+    // A request that waits in the kernel is lost when the connection closes.
+    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0 && !has_unread_input()) {
         close_and_notify();
     }
 }
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+bool tcp_connection::has_unread_input() const
+{
+    char next = 0;
+    return is_open() && ::recv(stream_.get_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool tcp_connection::flush()
 {
     bool sent_any = false;
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -90,6 +90,7 @@
     discarding_caller(const discarding_caller&) = delete;
     discarding_caller& operator=(const discarding_caller&) = delete;
 
+    void send(const std::string& bytes);
     /// The number of bytes received.
     [[nodiscard]] std::size_t received() const { return received_; }
 
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -168,6 +168,11 @@
       })
 {}
 
+void discarding_caller::send(const std::string& bytes)
+{
+    send_all(caller_.handle(), bytes);
+}
+
 discarding_caller::~discarding_caller()
 {
     stopping_ = true;
