Answer the requests that are open when a planned stop runs out of time

Cause: a stopping node ended by returning from its loop 400 ms before the kill; what was open then was closed by destructors. Two ways to get there late: the grace was counted from the moment at which the loop noticed the signal, not from the signal, so a busy node took new requests and ended later than it thought; and requests were taken for 3 s whatever the grace, so with a grace of 4 s they had 0.6 s left.

Fix: 500 ms before the kill relay_core::end_all() ends what is open: 503 with a Retry-After where nothing was written, 502 where the request may have run, no last chunk where a stream has begun; the process exits when these are sent, and 250 ms before the kill at the latest. The signal handler notes the time.

--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -68,6 +68,11 @@
     timed_out, ///< the server can't be reached, which says nothing about its process
 };
 
+/// The reason of refusals by a node that stops, and when their callers may come back: another node can serve
+/// them at once.
+inline constexpr const char* stopping_reason = "stopping";
+inline constexpr duration stopping_retry = std::chrono::milliseconds(1);
+
 /// State machine of all requests: routes them, chooses servers, and decides which of them may be retried. It
 /// does no I/O: each call returns the effects that its caller must carry out. Not thread safe.
 class relay_core
@@ -135,6 +140,10 @@
 
     [[nodiscard]] relay_effects on_tick(instant now);
 
+    /// Ends all open requests, because the process is about to exit: those whose response has begun are
+    /// aborted, the others get an error response that states whether they may have been executed.
+    [[nodiscard]] relay_effects end_all(instant now);
+
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
     /// Returns the request counts of each service by outcome.
     [[nodiscard]] const std::map<service_id, core::ledger_account>& accounts() const { return accounts_; }
@@ -218,9 +227,13 @@
     /// Returns why a request's attempt has timed out; null: it hasn't.
     [[nodiscard]] const char* timeout_reason(const request& req, instant now) const;
     void end_attempt(request& req, bool good, instant now);
+    /// Cancels a request's current attempt, if it has one.
+    void cancel_current(request& req, instant now, relay_effects& out);
     void release_load(request& req);
     void retry_or_fail(request_map::iterator it, bool after_run, const std::string& detail, instant now,
                        relay_effects& out);
+    /// Returns when a caller may come back after a request failed for `reason` without having run.
+    [[nodiscard]] duration retry_wait(const service_id& service, std::string_view reason, instant now) const;
     /// Returns when a caller may come back to a service without an open server.
     [[nodiscard]] duration no_server_wait(const service_id& service, instant now) const;
     /// Ends a request with an error response that states whether it may have been executed.
--- a/src/currantspar/gateway/gateway.cpp
+++ b/src/currantspar/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "currantspar/gateway/gateway.hpp"
 
+#include <atomic>
 #include <csignal>
 #include <iostream>
 
@@ -19,12 +20,16 @@
 constexpr int exit_unavailable = 4;
 constexpr int exit_usage = 2;
 
-volatile std::sig_atomic_t stop_signals = 0;   // NOLINT: written by signal handlers
+/// Microseconds of the monotonic clock; 0: no stop was requested.
+std::atomic<std::int64_t> stop_requested_us = 0; // NOLINT: written by signal handlers
+static_assert(std::atomic<std::int64_t>::is_always_lock_free);
 volatile std::sig_atomic_t reload_signals = 0; // NOLINT: written by signal handlers
 
 void note_stop(int)
 {
-    stop_signals = 1;
+    // The grace runs from the first signal, also when the node is busy and notices it later.
+    std::int64_t none = 0;
+    stop_requested_us.compare_exchange_strong(none, io::monotonic_now().time_since_epoch().count());
 }
 
 void note_reload(int)
@@ -77,8 +82,8 @@
     }
     instant next_tick = io::monotonic_now();
     for (instant now = next_tick; !node.done(now); now = io::monotonic_now()) {
-        if (stop_signals != 0) {
-            node.stop(now);
+        if (const std::int64_t requested = stop_requested_us; requested != 0) {
+            node.stop(instant(duration(requested)));
         }
         if (reload_signals != 0) {
             reload_signals = 0;
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -32,9 +32,10 @@
 
     /// Opens the listeners and starts reading the shared store.
     [[nodiscard]] result<void> start();
-    /// Starts a graceful stop: the node is no longer ready, later closes idle connections, and is done() once
-    /// no request is open.
-    void stop(instant now);
+    /// Starts a graceful stop that was requested at `requested`: the node is no longer ready, later closes
+    /// idle connections, and is done() once no request is open. Requests that are open near the end of the
+    /// grace get an error response. Further calls have no effect.
+    void stop(instant requested);
     /// Applies the settings that may change at run time.
     void reload(const gateway_settings& new_settings);
     void on_tick(instant now);
@@ -59,6 +60,8 @@
     void connection_closed(caller_connection& closed) override;
     /// Answers a request that arrived late during a stop as not run.
     void refuse_while_stopping(caller_connection& from, const std::string& request_id);
+    /// Ends all open requests shortly before the process exits.
+    void end_open_requests(instant now);
     /// The callers' limits of the configuration in force.
     [[nodiscard]] relay::caller_limits limits() const;
     /// Closes connections whose request is overdue or that are idle too long; while stopping, once the load
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -369,6 +369,29 @@
     return out;
 }
 
+relay_effects relay_core::end_all(instant now)
+{
+    relay_effects out;
+    while (!requests_.empty()) {
+        const auto it = requests_.begin();
+        cancel_current(it->second, now, out);
+        fail(it, stopping_reason, now, out);
+    }
+    return out;
+}
+
+void relay_core::cancel_current(request& req, instant now, relay_effects& out)
+{
+    if (req.current.value() == 0) {
+        return;
+    }
+    out.push_back(cancel_attempt{req.current});
+    if (req.stage != attempt_stage::prefill_only && req.written) {
+        req.runs += 1;
+    }
+    end_attempt(req, false, now);
+}
+
 relay_effects relay_core::on_tick(instant now)
 {
     relay_effects out;
@@ -379,16 +402,8 @@
     for (auto it = requests_.begin(); it != requests_.end();) {
         const auto next = std::next(it);
         request& req = it->second;
-        const bool has_attempt = req.current.value() != 0;
         if (now >= req.deadline) {
-            if (has_attempt) {
-                out.push_back(cancel_attempt{req.current});
-                const bool prefilling = req.stage == attempt_stage::prefill_only;
-                if (!prefilling && req.written) {
-                    req.runs += 1;
-                }
-                end_attempt(req, false, now);
-            }
+            cancel_current(req, now, out);
             fail(it, "timeout", now, out);
         } else if (const char* late_reason = timeout_reason(req, now)) {
             const attempt_id cancelled = req.current;
--- a/src/currantspar/relay/relay_core_outcomes.cpp
+++ b/src/currantspar/relay/relay_core_outcomes.cpp
@@ -129,8 +129,7 @@
         return;
     }
     if (!req.may_have_run) {
-        const duration wait = reason == "no_server" ? no_server_wait(req.service, now) : options_.full_retry;
-        refuse(it, status_unavailable, wait, reason, now, out);
+        refuse(it, status_unavailable, retry_wait(req.service, reason, now), reason, now, out);
         return;
     }
     const bool late = now + options_.min_time_left >= req.deadline;
@@ -138,6 +137,14 @@
     finish(it, core::request_outcome::unknown, reason, now, out);
 }
 
+duration relay_core::retry_wait(const service_id& service, std::string_view reason, instant now) const
+{
+    if (reason == stopping_reason) {
+        return stopping_retry;
+    }
+    return reason == "no_server" ? no_server_wait(service, now) : options_.full_retry;
+}
+
 duration relay_core::no_server_wait(const service_id& service, instant now) const
 {
     const auto pause_end = directory_.first_pause_end(service);
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -181,6 +181,28 @@
     BOOST_TEST(node.core.open_requests() == 0U);
 }
 
+/// Guards against requests that end with their process, without an answer.
+BOOST_AUTO_TEST_CASE(open_requests_are_answered_when_the_process_ends)
+{
+    served_node node;
+    node.sent(make_call("r1", "/once/1"));
+    static_cast<void>(node.core.on_request(request_number(100), make_call("r2", "/once/1"), at(1)));
+    const relay_effects effects = node.core.end_all(at(1.5));
+    std::vector<int> statuses;
+    for (const relay_effect& effect : effects) {
+        if (const auto* answer = std::get_if<reply>(&effect)) {
+            statuses.push_back(answer->status);
+        }
+    }
+    // The first one was written and may have run, the second was not.
+    BOOST_TEST((statuses == std::vector<int>{502, 503}));
+    BOOST_TEST(node.core.open_requests() == 0U);
+    const core::ledger_account& account = node.core.accounts().at(service_id("desk"));
+    BOOST_TEST(account.unknown == 1U);
+    BOOST_TEST(account.not_run == 1U);
+    BOOST_TEST(account.difference() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_server_gets_no_new_work)
 {
     served_node node;
