Show that a response cut off within its head is never complete

Another operator's callers got a 200 with an empty body, framed as whole, when a server stopped in the middle of its head and closed. Searched in both front ends: the gateway's reader and the libcurl transfers of serve both ask for the head's end. The tests cut whole responses (with a length, without one, chunked, after an interim response) at every byte, and pass on the code before this commit: the fault can't happen here.

Tests: a_response_cut_off_anywhere_before_its_end_is_never_complete, answer_cut_off_anywhere_before_its_end_is_not_complete.

--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -134,6 +134,33 @@
     BOOST_TEST(!chunked.end_of_connection());
 }
 
+/// Guards against a server that stops in the middle of its response's head and closes: callers of other
+/// systems got a 200 with an empty body, framed as whole.
+BOOST_AUTO_TEST_CASE(a_response_cut_off_anywhere_before_its_end_is_never_complete)
+{
+    const std::string fields = "Id: a\r\nProof: p\r\nContent-Type: text/plain\r\n";
+    const std::string no_length_head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+    const std::string responses[] = {
+        "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + fields + "\r\n",
+        "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-T: t\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+        no_length_head,
+    };
+    for (const std::string& whole : responses) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            response_reader reader({65536, 65536});
+            std::string bytes = whole.substr(0, length);
+            BOOST_TEST((reader.read(bytes) == read_progress::incomplete), whole.substr(0, length));
+            BOOST_TEST(!reader.end_of_connection(), whole.substr(0, length));
+        }
+    }
+    response_reader reader({65536, 65536});
+    std::string bytes = no_length_head;
+    BOOST_TEST((reader.read(bytes) == read_progress::incomplete));
+    BOOST_TEST(reader.end_of_connection());
+}
+
 BOOST_AUTO_TEST_CASE(interim_responses_are_skipped_and_extra_bytes_left)
 {
     response_reader reader({65536, 65536});
--- a/src/currantspar/io/http_client_test.cpp
+++ b/src/currantspar/io/http_client_test.cpp
@@ -91,6 +91,22 @@
     BOOST_CHECK(run(client, to(server, "GET")).end.how == transfer_result::broken);
 }
 
+/// Guards against an engine that stops in the middle of its answer's head and closes: libcurl calls that a
+/// success.
+BOOST_AUTO_TEST_CASE(answer_cut_off_anywhere_before_its_end_is_not_complete)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\nbody";
+    for (std::size_t length = 1; length < whole.size(); ++length) {
+        scripted_server server({[&](int socket) {
+            scripted_server::read_head(socket);
+            scripted_server::write(socket, whole.substr(0, length));
+        }});
+        http_client client;
+        const whole_answer got = run(client, to(server, "POST"));
+        BOOST_TEST((got.end.how != transfer_result::complete), whole.substr(0, length));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(post_on_a_dead_pooled_connection_is_not_sent_again)
 {
     http_client client;
