Keep the memory of incomplete responses within one limit

What other operators saw: a server sent bytes without end, the node that had called it kept them all, ran out of memory and ended with all its requests. Here each response was limited to 16 MiB, but not all of them together: 24 callers of two servers with endless bodies took 424 MB in the new test, at a site that allows 182 MB.

Changes: - the responses and events that a node keeps until they are complete may take a quarter of its memory (from its settings); beyond that the largest fails as one that may have run.

After: 24 endless bodies stay within 96 MiB over the process's size before, test clients included.

Tests: bodies_without_end_from_many_servers_stay_within_one_budget (424,607,744 bytes before), a_success_without_a_signature_is_refused_at_its_head (2 s before), a_response_without_end_to_an_own_call_is_cut_off_early (20,668,847 bytes read before); all failed before.

--- a/include/currantspar/gateway/message_reader.hpp
+++ b/include/currantspar/gateway/message_reader.hpp
@@ -1,7 +1,9 @@
 #ifndef CURRANTSPAR_GATEWAY_MESSAGE_READER_HPP
 #define CURRANTSPAR_GATEWAY_MESSAGE_READER_HPP
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -67,6 +69,8 @@
     [[nodiscard]] bool end_of_connection();
     [[nodiscard]] bool head_done() const;
     [[nodiscard]] int status() const;
+    /// The body's declared length, if there is one. Precondition: the head is done.
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const;
     [[nodiscard]] http_fields fields() const;
     /// True when the server allows the connection to stay open.
     [[nodiscard]] bool keep_alive() const;
--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSPAR_GATEWAY_SERVER_CONNECTION_HPP
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace currantspar::gateway {
 
+inline constexpr std::size_t default_body_bytes = 16777216;
+inline constexpr std::size_t unlimited_body_bytes = std::numeric_limits<std::size_t>::max();
+
 /// Receives the outcome of one request that was sent to a server. No calls follow response_complete or
 /// request_failed.
 class exchange_sink
@@ -30,8 +34,8 @@
     /// The head of a response arrived. Returns false when the response belongs to another request; it is then
     /// skipped and the next one parsed.
     virtual bool response_head(int status, const http_fields& fields) = 0;
-    /// Returns whether the body's total size is limited; asked after response_head().
-    [[nodiscard]] virtual bool limits_body() const { return true; }
+    /// The most bytes of a body that are read before the request fails; asked after response_head().
+    [[nodiscard]] virtual std::size_t max_body_bytes() const { return default_body_bytes; }
     virtual void response_body(std::string_view bytes) = 0;
     virtual void response_complete() = 0;
     /// No complete response will arrive. `written` false: no byte of the request left this process.
@@ -47,7 +51,7 @@
     duration max_idle_time = std::chrono::seconds(4);       ///< for servers that send no Keep-Alive timeout
     duration idle_margin = std::chrono::milliseconds(1200); ///< subtracted from a server's Keep-Alive timeout
     std::size_t max_idle_connections = 16;                  ///< per server
-    reader_limits response_limits{65536, 16777216};
+    reader_limits response_limits{65536, default_body_bytes};
 };
 
 /// A pool of persistent connections to servers. A connection carries one request at a time, and is closed
--- a/include/currantspar/gateway/store_watch.hpp
+++ b/include/currantspar/gateway/store_watch.hpp
@@ -71,6 +71,7 @@
 
 private:
     bool response_head(int status, const http_fields& fields) override;
+    [[nodiscard]] std::size_t max_body_bytes() const override;
     void response_body(std::string_view bytes) override;
     void response_complete() override;
     void request_failed(bool written, const std::string& detail) override;
--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -64,9 +64,9 @@
     ACE_SOCK_Stream stream_;
     std::string out_;
     std::size_t out_sent_ = 0;
+    std::error_code send_problem_; ///< that ended the connection, found by a send
     bool connecting_ = false;
     bool write_interest_ = false;
-    std::error_code send_problem_; ///< that ended the connection, found by a send
 };
 
 } // namespace currantspar::gateway
--- a/include/currantspar/gateway/wire_protocol.hpp
+++ b/include/currantspar/gateway/wire_protocol.hpp
@@ -26,6 +26,7 @@
     duration retry_window = std::chrono::seconds(10);
     double retry_ratio = 0.1;                 ///< retries per request, over all nodes
     double retry_reserve = 20;                ///< further retries per `retry_window`, over all nodes
+    std::size_t memory_bytes = 256U << 20U;   ///< the process may use; it is killed beyond that
     duration grace = std::chrono::seconds(8); ///< from the stop signal until the process is killed
 };
 
--- a/src/currantspar/gateway/endless_response_test.cpp
+++ b/src/currantspar/gateway/endless_response_test.cpp
@@ -1,6 +1,11 @@
+#include <algorithm>
+#include <fstream>
+
 #include <boost/test/unit_test.hpp>
+#include <unistd.h>
 
 #include "test_node.hpp"
+#include "unary_call.hpp"
 
 namespace currantspar::gateway {
 
@@ -92,6 +97,88 @@
     }
 }
 
+/// The resident memory of this process.
+std::size_t resident_bytes()
+{
+    std::ifstream statistics("/proc/self/statm");
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    statistics >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// Guards against a node that keeps what many servers send without end and runs out of memory: each response
+/// was limited, but not all of them together.
+BOOST_AUTO_TEST_CASE(bodies_without_end_from_many_servers_stay_within_one_budget)
+{
+    constexpr std::size_t callers = 24;
+    const auto endless = [](const http_request& from) {
+        scripted_response response{"HTTP/1.1 200 OK\r\nProof: p\r\nId: " + id_of(from) + "\r\n\r\n"};
+        response.endless = repeated("x");
+        return response;
+    };
+    running_node run({endless, endless}, running_node::store_response,
+                     [](test::fake_protocol& wire) { wire.settings.memory_bytes = 182000000; });
+    const std::size_t before = resident_bytes();
+    std::vector<std::future<std::string>> answers;
+    for (std::size_t index = 0; index < callers; ++index) {
+        answers.push_back(std::async(std::launch::async, test::exchange, run.wire.settings.caller_address,
+                                     request("POST", "/once/bad", "a" + std::to_string(index)),
+                                     ends_with("\r\n\r\n")));
+    }
+    std::size_t most = 0;
+    BOOST_TEST(run.run_until([&] {
+        most = std::max(most, resident_bytes());
+        return std::all_of(answers.begin(), answers.end(), [](const auto& each) {
+            return each.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        });
+    }));
+    for (auto& each : answers) {
+        BOOST_TEST(each.get().starts_with("HTTP/1.1 50"));
+    }
+    BOOST_TEST(most < before + 96 * megabyte);
+}
+
+/// Guards against a body that is read to its end, or for ever, although its head already rules it out.
+BOOST_AUTO_TEST_CASE(a_success_without_a_signature_is_refused_at_its_head)
+{
+    running_node run({[](const http_request& from) {
+        return scripted_response{"HTTP/1.1 200 OK\r\nId: " + id_of(from) + "\r\n\r\npart", false, false,
+                                 true};
+    }});
+    const instant began = io::monotonic_now();
+    const std::string received = run.call(request("POST", "/once/1", "a"), ends_with("\r\n\r\n"));
+    BOOST_TEST(received.starts_with("HTTP/1.1 502 "));
+    BOOST_TEST((io::monotonic_now() - began < std::chrono::seconds(1)));
+}
+
+/// Guards against a response to one of the node's own calls that never ends, which was kept up to the limit
+/// for callers' responses at each server.
+BOOST_AUTO_TEST_CASE(a_response_without_end_to_an_own_call_is_cut_off_early)
+{
+    test::scripted_server server([](const http_request&) {
+        scripted_response response{"HTTP/1.1 200 OK\r\n\r\n"};
+        response.endless = repeated("x");
+        return response;
+    });
+    ACE_Reactor reactor(new ACE_Dev_Poll_Reactor, true);
+    server_pool pool(reactor, {});
+    unary_calls calls;
+    std::optional<bool> answered;
+    calls.start(
+        pool, server.address(), write_request({"GET", "/status", {{"Host", "h"}}, {}}),
+        std::chrono::seconds(5), [&](const http_response* response) { answered = response != nullptr; },
+        io::monotonic_now());
+    const instant began = io::monotonic_now();
+    while (!answered && io::monotonic_now() - began < std::chrono::seconds(4)) {
+        ACE_Time_Value wait(0, 5000);
+        reactor.handle_events(wait);
+    }
+    BOOST_REQUIRE(answered.has_value());
+    BOOST_TEST(!*answered);
+    BOOST_TEST(server.endless_bytes_sent() < 12 * megabyte);
+}
+
 /// The event is never complete, so nothing of it is forwarded.
 BOOST_AUTO_TEST_CASE(an_event_without_end_breaks_its_stream)
 {
--- a/src/currantspar/gateway/gateway_attempt.hpp
+++ b/src/currantspar/gateway/gateway_attempt.hpp
@@ -22,7 +22,7 @@
     void request_written() override { node_.core_.on_written(number); }
 
     bool response_head(int status, const http_fields& head) override;
-    [[nodiscard]] bool limits_body() const override { return !streaming; }
+    [[nodiscard]] std::size_t max_body_bytes() const override;
     void response_body(std::string_view bytes) override { node_.on_body(*this, bytes); }
     void response_complete() override { node_.on_complete(*this); }
     void request_failed(bool written, const std::string& detail) override
@@ -33,6 +33,13 @@
     /// True when the response may belong to an earlier request on the connection.
     [[nodiscard]] bool is_ambiguous() const { return on_kept_connection_ && decoded.request_id.empty(); }
 
+    /// Why the head alone rules the response out; empty when it doesn't.
+    [[nodiscard]] std::string rejection() const;
+    /// True when the body isn't needed, because the request is answered otherwise or sent again.
+    [[nodiscard]] bool drops_body() const;
+    /// The memory of what is kept until the response, or an event of it, is complete.
+    [[nodiscard]] std::size_t buffered_bytes() const { return body.capacity() + events.buffered_bytes(); }
+
     /// True for a success status that the server verifiably sent in response to this request.
     [[nodiscard]] bool is_verified_success() const;
 
@@ -50,7 +57,8 @@
     exchange_id exchange = 0;
     relay::response_info decoded;
     http_fields fields;
-    std::string body;
+    std::string body{};            ///< of a response that isn't a stream
+    std::size_t counted_bytes = 0; ///< of this response, in the node's total
     event_splitter events;
 };
 
--- a/src/currantspar/gateway/gateway_metrics.hpp
+++ b/src/currantspar/gateway/gateway_metrics.hpp
@@ -15,7 +15,8 @@
     std::uint64_t server_connects = 0;
     std::uint64_t caller_connections = 0;
     std::uint64_t live_nodes = 0;
-    std::uint64_t configuration = 0; ///< version of the configuration in force
+    std::uint64_t configuration = 0;  ///< version of the configuration in force
+    std::uint64_t buffered_bytes = 0; ///< of incomplete responses
     bool ready = false;
 };
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -110,8 +110,8 @@
 
 http_response gateway_node::handle_metrics_request()
 {
-    const gateway_counts counts{servers_.connects(), caller_server_.size(), peers_.live_nodes(),
-                                core_.routes().version(), ready()};
+    const gateway_counts counts{servers_.connects(),      caller_server_.size(), peers_.live_nodes(),
+                                core_.routes().version(), buffered_bytes_,       ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -87,6 +87,10 @@
     void on_complete(attempt& from);
     void on_failed(attempt& from, bool written, const std::string& detail);
     void retire(attempt_id number);
+    /// Sets what an attempt counts for in the node's total of buffered bytes.
+    void count_buffered(attempt& from, std::size_t bytes);
+    /// Fails the attempts with the largest responses until the rest fits into the memory for them.
+    void enforce_buffer_limit();
 
     // Peers.
     /// Applies a peer's digest.
@@ -126,6 +130,7 @@
     std::unordered_map<relay::request_number, caller> callers_;
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
     std::vector<std::unique_ptr<attempt>> retired_;
+    std::size_t buffered_bytes_ = 0; ///< of all attempts' responses
     std::uint64_t last_request_ = 0;
     bool stopping_ = false;
     bool was_ready_ = false;
--- a/src/currantspar/gateway/gateway_node_responses.cpp
+++ b/src/currantspar/gateway/gateway_node_responses.cpp
@@ -15,6 +15,11 @@
 constexpr int status_misdirected = 421;
 /// A larger event of a stream is taken for one that never ends.
 constexpr std::size_t max_event_bytes = 1048576;
+/// The fraction of the process's memory that responses and events may take until they are complete.
+constexpr std::size_t buffer_divisor = 4;
+
+/// The limit of bodies that no caller gets.
+constexpr std::size_t max_small_body_bytes = 65536;
 
 http_fields forwarded_fields(const http_fields& fields)
 {
@@ -39,10 +44,41 @@
         const instant now = io::monotonic_now();
         node_.run(node_.core_.on_response_head(number, decoded, now), now);
     }
+    if (const std::string reason = rejection(); !reason.empty()) {
+        node_.on_failed(*this, true, reason);
+        return true;
+    }
     node_.on_head(*this);
     return true;
 }
 
+std::string gateway_node::attempt::rejection() const
+{
+    if (is_ambiguous()) {
+        return "response without an id on a kept connection";
+    }
+    const bool is_success = decoded.status < first_non_success_status;
+    if (stage != relay::attempt_stage::prefill_only && is_success && !decoded.not_run &&
+        !is_verified_success()) {
+        return "unverified success response";
+    }
+    return {};
+}
+
+bool gateway_node::attempt::drops_body() const
+{
+    return decoded.not_run || promises_not_run(decoded.status);
+}
+
+std::size_t gateway_node::attempt::max_body_bytes() const
+{
+    if (streaming) {
+        return unlimited_body_bytes;
+    }
+    const bool is_small = drops_body() || stage == relay::attempt_stage::prefill_only;
+    return is_small ? max_small_body_bytes : default_body_bytes;
+}
+
 bool gateway_node::attempt::is_verified_success() const
 {
     return decoded.status >= status_ok && decoded.status < first_non_success_status && decoded.has_proof &&
@@ -60,15 +96,21 @@
 void gateway_node::on_body(attempt& from, std::string_view bytes)
 {
     if (!from.streaming) {
-        from.body.append(bytes);
+        if (!from.drops_body()) {
+            from.body.append(bytes);
+            count_buffered(from, from.buffered_bytes());
+            enforce_buffer_limit();
+        }
         return;
     }
     const std::string complete_events = from.events.push(bytes);
+    count_buffered(from, from.buffered_bytes());
     if (from.events.buffered_bytes() > max_event_bytes) {
         on_failed(from, true, "event without end");
         return;
     }
     if (complete_events.empty()) {
+        enforce_buffer_limit();
         return;
     }
     if (const caller* to = find_caller(from.request); to != nullptr) {
@@ -81,6 +123,23 @@
     run(core_.on_events(from.number, from.events.last_id(), now), now);
 }
 
+void gateway_node::count_buffered(attempt& from, std::size_t bytes)
+{
+    buffered_bytes_ += bytes;
+    buffered_bytes_ -= std::exchange(from.counted_bytes, bytes);
+}
+
+void gateway_node::enforce_buffer_limit()
+{
+    while (buffered_bytes_ > settings_.memory_bytes / buffer_divisor) {
+        const auto largest =
+            std::max_element(attempts_.begin(), attempts_.end(), [](const auto& left, const auto& right) {
+                return left.second->buffered_bytes() < right.second->buffered_bytes();
+            });
+        on_failed(*largest->second, true, "response is too large for the memory left");
+    }
+}
+
 void gateway_node::on_complete(attempt& from)
 {
     const instant now = io::monotonic_now();
@@ -96,9 +155,6 @@
         } else {
             effects = core_.on_stream_end(number, now);
         }
-    } else if (from.is_ambiguous()) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost,
-                                   "response without an id on a kept connection", now);
     } else if (decoded.not_run || decoded.status == status_misdirected) {
         effects = core_.on_failure(number, relay::attempt_failure::not_run,
                                    "status " + std::to_string(decoded.status), now);
@@ -108,8 +164,6 @@
                       ? core_.on_prompt_prefilled(number, *handle, now)
                       : core_.on_failure(number, relay::attempt_failure::lost,
                                          "prefill failed: status " + std::to_string(decoded.status), now);
-    } else if (decoded.status < first_non_success_status && !from.is_verified_success()) {
-        effects = core_.on_failure(number, relay::attempt_failure::lost, "unverified success response", now);
     } else if (promises_not_run(decoded.status)) {
         effects = core_.on_failure(number, relay::attempt_failure::lost,
                                    "unverified status " + std::to_string(decoded.status), now);
@@ -134,6 +188,8 @@
     const auto found = attempts_.find(number);
     if (found != attempts_.end()) {
         servers_.cancel(found->second->exchange);
+        count_buffered(*found->second, 0);
+        found->second->body = {};
         retired_.push_back(std::move(found->second));
         attempts_.erase(found);
     }
--- a/src/currantspar/gateway/message_reader.cpp
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -210,6 +210,12 @@
     return static_cast<int>(impl_->parser->get().result_int());
 }
 
+std::optional<std::uint64_t> response_reader::content_length() const
+{
+    const auto length = impl_->parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 http_fields response_reader::fields() const
 {
     return copy_fields(impl_->parser->get());
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -167,12 +167,23 @@
         head_delivered_ = true;
         update_idle_time();
         skipping_ = !sink_->response_head(reader_->status(), reader_->fields());
-        if (sink_ != nullptr && !skipping_ && !sink_->limits_body()) {
-            reader_->allow_endless_body();
+        if (sink_ != nullptr && !skipping_) {
+            limit_body(sink_->max_body_bytes());
         }
         return sink_ != nullptr;
     }
 
+    void limit_body(std::size_t most)
+    {
+        body_bytes_left_ = most;
+        if (most == unlimited_body_bytes) {
+            reader_->allow_endless_body();
+        }
+        if (reader_->content_length().value_or(0) > most) {
+            fail("response body is too large");
+        }
+    }
+
     /// Fails the request unless the response can be read on.
     bool is_sound(read_progress progress)
     {
@@ -186,9 +197,15 @@
     void deliver_body()
     {
         const std::string body = reader_->take_body();
-        if (!body.empty() && !skipping_) {
-            sink_->response_body(body);
+        if (body.empty() || skipping_) {
+            return;
+        }
+        if (body.size() > body_bytes_left_) {
+            fail("response body is too large");
+            return;
         }
+        body_bytes_left_ -= body.size();
+        sink_->response_body(body);
     }
 
     void complete()
@@ -226,6 +243,7 @@
     bool head_delivered_ = false;
     bool skipping_ = false;
     unsigned skipped_responses_ = 0;
+    std::size_t body_bytes_left_ = 0; ///< of the limit on the current response's body
     duration idle_time_{};
     instant opened_{};
     instant usable_until_{};
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -66,6 +66,13 @@
     exchange_ = pool_.start(store_, request, *this, now);
 }
 
+std::size_t store_watch::max_body_bytes() const
+{
+    // Decoding takes several times the memory of the body.
+    constexpr std::size_t max_page_bytes = 4194304;
+    return max_page_bytes;
+}
+
 bool store_watch::response_head(int status, const http_fields& fields)
 {
     last_byte_at_ = io::monotonic_now();
--- a/src/currantspar/gateway/unary_call.cpp
+++ b/src/currantspar/gateway/unary_call.cpp
@@ -4,6 +4,13 @@
 
 namespace currantspar::gateway {
 
+namespace {
+
+/// The node's own calls have small responses.
+constexpr std::size_t max_call_body_bytes = 1048576;
+
+} // namespace
+
 class unary_calls::call : public exchange_sink
 {
 public:
@@ -22,6 +29,7 @@
         response_.fields = fields;
         return true;
     }
+    [[nodiscard]] std::size_t max_body_bytes() const override { return max_call_body_bytes; }
     void response_body(std::string_view bytes) override { response_.body.append(bytes); }
     void response_complete() override { finish(&response_); }
     void request_failed(bool, const std::string&) override { finish(nullptr); }
