Refuse requests and responses whose body has no usable framing

Cause: the parser library accepts any transfer coding and takes a message whose coding doesn't end with chunked for one without a body; the reader checked for a second Host, two lengths and folded lines only, and only once the body was read. The field was then dropped towards the server. A trailer's fields were added to the head's.

Fix: when the head is done, and before a byte of the body is read, a request needs either no coding and at most one length of digits alone, or the coding chunked, alone, once, without a length; everything else gets 400 and the connection closes. Responses the same. The head's fields are taken before a trailer can add to them.

Not searched: serve, whose requests are parsed by libmicrohttpd.

--- a/include/currantspar/gateway/message_reader.hpp
+++ b/include/currantspar/gateway/message_reader.hpp
@@ -46,6 +46,10 @@
 
 private:
     struct implementation;
+
+    /// Consumes the head and checks its framing; `complete` when it is done and sound.
+    read_progress read_head(std::string& bytes);
+
     std::unique_ptr<implementation> impl_;
 };
 
--- a/src/currantspar/gateway/message_reader.cpp
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "currantspar/gateway/message_reader.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -34,6 +36,21 @@
     return out;
 }
 
+/// True when a message declares no transfer coding, or chunked alone and once. Another coding can't be
+/// decoded here, and where the body ends would be a guess (RFC 9112, 6.1 and 6.3).
+template <typename Fields>
+bool has_usable_framing(const Fields& fields)
+{
+    const std::size_t codings = fields.count(http::field::transfer_encoding);
+    if (codings > 0) {
+        return codings == 1 && fields.count(http::field::content_length) == 0 &&
+               boost::beast::iequals(fields[http::field::transfer_encoding], "chunked");
+    }
+    const auto length = fields[http::field::content_length];
+    return fields.count(http::field::content_length) <= 1 &&
+           std::all_of(length.begin(), length.end(), [](char each) { return each >= '0' && each <= '9'; });
+}
+
 read_progress to_progress(const boost::system::error_code& problem)
 {
     if (problem == http::error::header_limit) {
@@ -75,9 +92,24 @@
 {
     explicit implementation(reader_limits given) : limits(given) {}
 
+    /// Checks what the parser lets pass, once the head is done.
+    read_progress check_head()
+    {
+        head_checked = true;
+        const auto& message = parser.get();
+        if (message.version() != 11 || message.count(http::field::host) != 1 ||
+            !has_usable_framing(message)) {
+            return read_progress::malformed;
+        }
+        // The parser adds the fields of a trailer to those of the head.
+        head_fields = copy_fields(message);
+        return read_progress::complete;
+    }
+
     reader_limits limits;
     http::request_parser<http::string_body> parser;
     bool head_checked = false;
+    http_fields head_fields;
 };
 
 request_reader::request_reader(reader_limits limits) : impl_(std::make_unique<implementation>(limits))
@@ -91,21 +123,27 @@
 
 read_progress request_reader::read(std::string& bytes)
 {
-    if (!impl_->head_checked && has_folded_line(bytes)) {
-        return read_progress::malformed;
+    if (!impl_->head_checked) {
+        const read_progress head = read_head(bytes);
+        if (head != read_progress::complete) {
+            return head;
+        }
     }
-    const read_progress progress = feed(impl_->parser, bytes, impl_->limits.header_bytes);
-    impl_->head_checked = impl_->parser.is_header_done();
-    if (impl_->head_checked && impl_->parser.get().version() != 11) {
+    return feed(impl_->parser, bytes, impl_->limits.header_bytes);
+}
+
+read_progress request_reader::read_head(std::string& bytes)
+{
+    if (has_folded_line(bytes)) {
         return read_progress::malformed;
     }
-    if (progress == read_progress::complete) {
-        const auto& fields = impl_->parser.get();
-        if (fields.count(http::field::host) != 1 || fields.count(http::field::content_length) > 1) {
-            return read_progress::malformed;
-        }
+    impl_->parser.eager(false);
+    const read_progress progress = feed(impl_->parser, bytes, impl_->limits.header_bytes, true);
+    impl_->parser.eager(true);
+    if (progress != read_progress::incomplete && progress != read_progress::complete) {
+        return progress;
     }
-    return progress;
+    return impl_->parser.is_header_done() ? impl_->check_head() : read_progress::incomplete;
 }
 
 bool request_reader::head_done() const
@@ -127,8 +165,8 @@
 http_request request_reader::take()
 {
     auto message = impl_->parser.release();
-    return {std::string(message.method_string()), std::string(message.target()), copy_fields(message),
-            std::move(message.body())};
+    return {std::string(message.method_string()), std::string(message.target()),
+            std::move(impl_->head_fields), std::move(message.body())};
 }
 
 struct response_reader::implementation
@@ -147,6 +185,9 @@
     {
         for (;;) {
             const read_progress progress = feed(*parser, bytes, limits.header_bytes, head_only);
+            if (parser->is_header_done() && !has_usable_framing(parser->get())) {
+                return read_progress::malformed;
+            }
             const bool interim = progress == read_progress::complete &&
                                  static_cast<int>(parser->get().result_int()) < first_final_status;
             if (!interim) {
