Never wait for the reader of the log

Cause: line_writer::handle() wrote with a blocking write(), although the header promised that lines are dropped.

Fix: a write follows a poll() that says the target takes a page, so it doesn't block; what isn't taken waits, up to 64 KiB of whole lines; further lines are dropped and counted in the event log_resumed and the metric dropped_log_lines. The gateway's tick writes what waits. A reader that went away (EPIPE) drops the lines.

--- a/src/currantspar/gateway/gateway_metrics.cpp
+++ b/src/currantspar/gateway/gateway_metrics.cpp
@@ -115,6 +115,7 @@
     set("known_servers", static_cast<double>(core.directory().size()));
     set("quarantined_segments", static_cast<double>(core.quarantine().size()));
     set("buffered_response_bytes", static_cast<double>(counts.buffered_bytes));
+    set("dropped_log_lines", static_cast<double>(counts.dropped_log_lines));
     set("ready", counts.ready ? 1 : 0);
     return prometheus::TextSerializer().Serialize(families_->registry.Collect());
 }
--- a/src/currantspar/gateway/gateway_metrics.hpp
+++ b/src/currantspar/gateway/gateway_metrics.hpp
@@ -17,6 +17,7 @@
     std::uint64_t live_nodes = 0;
     std::uint64_t configuration = 0;  ///< version of the configuration in force
     std::uint64_t buffered_bytes = 0; ///< of incomplete responses
+    std::uint64_t dropped_log_lines = 0;
     bool ready = false;
 };
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -110,8 +110,13 @@
 
 http_response gateway_node::handle_metrics_request()
 {
-    const gateway_counts counts{servers_.connects(),      caller_server_.size(), peers_.live_nodes(),
-                                core_.routes().version(), buffered_bytes_,       ready()};
+    const gateway_counts counts{servers_.connects(),
+                                caller_server_.size(),
+                                peers_.live_nodes(),
+                                core_.routes().version(),
+                                buffered_bytes_,
+                                io::dropped_log_lines(),
+                                ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
@@ -360,6 +365,7 @@
 
 void gateway_node::on_tick(instant now)
 {
+    io::flush_log();
     log_engine_speeds(now);
     store_reader_.on_tick(now);
     announce(now);
--- a/src/currantspar/io/log.cpp
+++ b/src/currantspar/io/log.cpp
@@ -1,11 +1,15 @@
 #include "currantspar/io/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
+#include <climits>
 #include <map>
 #include <mutex>
 
 #include <easylogging++.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include "currantspar/base/json.hpp"
@@ -118,24 +122,86 @@
     };
 
     std::atomic<int> target_descriptor = STDERR_FILENO;
-    std::atomic<std::uint64_t> lost_lines = 0;
 
-    /// Writes the library's lines to the log's target. A line that the target doesn't take at once is lost.
-    class line_writer : public el::LogDispatchCallback
+    /// Lines that the target doesn't take at once wait here; further ones are dropped and counted.
+    constexpr std::size_t max_waiting_bytes = 65536;
+
+    /// Writes whole lines to the log's target without ever waiting for its reader.
+    class line_output
     {
-    protected:
-        void handle(const el::LogDispatchData* data) override
+    public:
+        static line_output& instance()
+        {
+            static line_output output;
+            return output;
+        }
+
+        void write(const std::string& line)
         {
             const std::lock_guard lock(mutex_);
-            const std::string line = data->logMessage()->message() + "\n";
-            const ssize_t written = ::write(target_descriptor, line.data(), line.size());
-            if (written != static_cast<ssize_t>(line.size())) {
-                lost_lines += 1;
+            flush();
+            if (dropped_ > 0 && waiting_.empty()) {
+                waiting_ = log_settings::instance().line(
+                               log_level::warning, "log_resumed",
+                               {{"dropped_lines", std::to_string(std::exchange(dropped_, 0))}}) +
+                           "\n";
+            }
+            if (waiting_.size() + line.size() + 1 > max_waiting_bytes) {
+                dropped_ += 1;
+                dropped_total_ += 1;
+                return;
             }
+            waiting_.append(line).append("\n");
+            flush();
         }
 
+        void write_waiting()
+        {
+            const std::lock_guard lock(mutex_);
+            flush();
+        }
+
+        [[nodiscard]] std::uint64_t dropped_total() const { return dropped_total_; }
+
     private:
+        /// Writes as long as the target takes bytes at once.
+        void flush()
+        {
+            std::size_t written = 0;
+            while (written < waiting_.size()) {
+                pollfd target{target_descriptor, POLLOUT, 0};
+                if (::poll(&target, 1, 0) <= 0) {
+                    break;
+                }
+                // A pipe that is ready for writing takes this many bytes without blocking.
+                const std::size_t part = std::min<std::size_t>(waiting_.size() - written, PIPE_BUF);
+                const ssize_t taken = ::write(target.fd, waiting_.data() + written, part);
+                if (taken < 0) {
+                    if (errno != EAGAIN && errno != EINTR) {
+                        // Nobody will read them, for example after EPIPE.
+                        written = waiting_.size();
+                    }
+                    break;
+                }
+                written += static_cast<std::size_t>(taken);
+            }
+            waiting_.erase(0, written);
+        }
+
         std::mutex mutex_;
+        std::string waiting_;
+        std::uint64_t dropped_ = 0; ///< since the last line that was taken
+        std::atomic<std::uint64_t> dropped_total_ = 0;
+    };
+
+    /// Passes the library's lines on to the output.
+    class line_writer : public el::LogDispatchCallback
+    {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            line_output::instance().write(data->logMessage()->message());
+        }
     };
 
     void install_line_writer()
@@ -157,6 +223,16 @@
         log_settings::instance().configure(level, format);
     }
 
+    void flush_log()
+    {
+        line_output::instance().write_waiting();
+    }
+
+    std::uint64_t dropped_log_lines()
+    {
+        return line_output::instance().dropped_total();
+    }
+
     void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields)
     {
         install_line_writer();
