Don't reset peers that live but read nothing for a while

Cause: TCP_USER_TIMEOUT, 2.5 s, is there to find dead peers. Linux applies it to a closed window too, although the peer acknowledges every probe. Callers that had read nothing of their last response for the header timeout (3 s) were closed as well, and a close handed the rest to the kernel under the same timeout.

Fix: one second after a write, while something is unacknowledged, each tick compares what the kernel has queued with what it has not sent. If all that was sent is acknowledged, the peer lives and its window is closed: its timeout becomes 30 s. As soon as sent bytes are unacknowledged it is 2.5 s again, so dead peers are found as before. A last response ends with a half-close, input is read on and dropped, and the connection closes once the caller has acknowledged all, or has read nothing for 30 s.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -54,8 +54,8 @@
     /// Answers a request that arrives too slowly with an error, and closes a connection that is idle too
     /// long.
     void check_time(const relay::caller_limits& limits, instant now);
-    /// Goes on with pipelined requests that one event left.
-    void on_tick();
+    /// Goes on with pipelined requests that one event left, and closes once the last response has arrived.
+    void on_tick(instant now);
     /// Closes the connection when no request is open, partly received or waits to be read, and no output is
     /// unsent.
     void close_if_idle();
--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -1,6 +1,8 @@
 #ifndef CURRANTSPAR_GATEWAY_TCP_CONNECTION_HPP
 #define CURRANTSPAR_GATEWAY_TCP_CONNECTION_HPP
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -27,6 +29,8 @@
     [[nodiscard]] bool is_open() const { return stream_.get_handle() != ACE_INVALID_HANDLE; }
     /// True when bytes of the peer wait in the kernel to be read.
     [[nodiscard]] bool has_unread_input() const;
+    /// Lets a peer live that acknowledges but reads nothing for a while. Call it in each tick.
+    void check_window(instant now);
     /// The number of bytes passed to write() that the kernel hasn't accepted yet.
     [[nodiscard]] std::size_t unsent() const { return out_.size() - out_sent_; }
 
@@ -44,6 +48,10 @@
     bool connect(const io::socket_address& address);
     /// Sends or queues bytes. Nothing is sent before the connection is established.
     void write(std::string_view bytes);
+    /// Tells the peer that nothing follows what was written. Precondition: unsent() is 0.
+    void shut_down_sending();
+    /// The number of bytes that the kernel has accepted and the peer hasn't acknowledged.
+    [[nodiscard]] std::size_t unacknowledged() const;
     /// Closes without calling on_closed. `reset` sends a TCP reset to the peer.
     void close(bool reset = false);
 
@@ -56,6 +64,8 @@
 
 private:
     void set_options();
+    void set_user_timeout(std::chrono::milliseconds timeout);
+    [[nodiscard]] std::size_t queued_bytes(unsigned long which) const;
     bool flush();
     void set_write_interest(bool enabled);
     void handle_disconnect(std::error_code problem);
@@ -64,7 +74,10 @@
     ACE_SOCK_Stream stream_;
     std::string out_;
     std::size_t out_sent_ = 0;
-    std::error_code send_problem_; ///< that ended the connection, found by a send
+    std::error_code send_problem_;             ///< that ended the connection, found by a send
+    std::optional<instant> unconfirmed_since_; ///< a write that may not be acknowledged yet
+    std::chrono::milliseconds user_timeout_{};
+    bool written_ = false; ///< since the last check_window()
     bool connecting_ = false;
     bool write_interest_ = false;
 };
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t max_pipelined_bytes = 1048576;
 /// The connection is closed when its caller leaves more output than this unread.
 constexpr std::size_t max_unsent_bytes = 8388608;
+/// A caller that reads nothing of its last response for so long loses the rest.
+constexpr duration max_unread_time = std::chrono::seconds(30);
 /// Pipelined requests that one event answers, when each is answered at once; the rest follows in the next
 /// ticks.
 constexpr int max_requests_at_once = 16;
@@ -58,9 +60,12 @@
     return is_open() && !closing_ && !request_open_ && !in_.empty();
 }
 
-void caller_connection::on_tick()
+void caller_connection::on_tick(instant now)
 {
-    if (has_unread_request()) {
+    check_window(now);
+    if (closing_ && unsent() == 0 && unacknowledged() == 0) {
+        close_and_notify();
+    } else if (has_unread_request()) {
         read_request();
     }
 }
@@ -165,8 +170,13 @@
 
 void caller_connection::on_sent()
 {
-    if (closing_ && unsent() == 0) {
-        close_and_notify();
+    if (!closing_) {
+        return;
+    }
+    since_ = io::monotonic_now();
+    if (unsent() == 0) {
+        // on_tick() closes once the caller has it all: a close with unread input would destroy it on its way.
+        shut_down_sending();
     }
 }
 
@@ -196,7 +206,7 @@
         return;
     }
     if (closing_) {
-        if (now - since_ > limits.header_timeout) {
+        if (now - since_ > max_unread_time) {
             close_and_notify();
         }
         return;
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -28,12 +28,12 @@
     return open;
 }
 
-void caller_server::on_tick()
+void caller_server::on_tick(instant now)
 {
     closed_.clear();
     // A connection that closes itself meanwhile is freed in the next tick.
     for (caller_connection* connection : connections()) {
-        connection->on_tick();
+        connection->on_tick(now);
     }
 }
 
--- a/src/currantspar/gateway/caller_server.hpp
+++ b/src/currantspar/gateway/caller_server.hpp
@@ -32,7 +32,7 @@
     [[nodiscard]] std::vector<caller_connection*> connections() const;
     [[nodiscard]] std::size_t size() const { return connections_.size(); }
     /// Frees closed connections, and lets the others go on with pipelined requests.
-    void on_tick();
+    void on_tick(instant now);
 
 private:
     void accept(ACE_SOCK_Stream& accepted);
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -392,10 +392,10 @@
         was_ready_ = core_.ready();
         io::log_event(io::log_level::info, "readiness_changed", {{"ready", was_ready_ ? "true" : "false"}});
     }
-    caller_server_.on_tick();
+    caller_server_.on_tick(now);
     retired_.clear();
-    readiness_server_.on_tick();
-    metrics_server_.on_tick();
+    readiness_server_.on_tick(now);
+    metrics_server_.on_tick(now);
 }
 
 void gateway_node::on_tick_delay(duration delay)
--- a/src/currantspar/gateway/probe_server.hpp
+++ b/src/currantspar/gateway/probe_server.hpp
@@ -21,7 +21,7 @@
     /// Starts listening at `IP:port`.
     [[nodiscard]] result<void> open(const std::string& address) { return server_.open(address); }
     /// Frees closed connections.
-    void on_tick() { server_.on_tick(); }
+    void on_tick(instant now) { server_.on_tick(now); }
 
 private:
     void request_arrived(caller_connection& from, http_request request) override;
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -337,6 +337,7 @@
     now_ = now;
     std::vector<connection*> overdue;
     for (const auto& [exchange, busy] : busy_) {
+        busy->check_window(now);
         if (!busy->is_open() || (!busy->connected() && now - busy->opened() > options_.connect_timeout)) {
             overdue.push_back(busy);
         }
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -2,18 +2,26 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Connector.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace currantspar::gateway {
 
 namespace {
 
 /// The kernel closes a connection whose peer doesn't acknowledge sent data for about this long.
-constexpr int user_timeout_ms = 2500;
+constexpr std::chrono::milliseconds user_timeout(2500);
+/// The same for a peer that acknowledges all that it has room for, but reads nothing: the kernel doesn't tell
+/// it from a dead one.
+constexpr std::chrono::milliseconds closed_window_timeout(30000);
+/// From a write until its acknowledgement is checked; well before the kernel's timeout.
+constexpr duration window_check_delay = std::chrono::seconds(1);
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
@@ -46,7 +54,52 @@
     set_option(stream_, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_user_timeout(user_timeout);
+}
+
+void tcp_connection::set_user_timeout(std::chrono::milliseconds timeout)
+{
+    if (timeout != user_timeout_) {
+        user_timeout_ = timeout;
+        set_option(stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+    }
+}
+
+std::size_t tcp_connection::queued_bytes(unsigned long which) const
+{
+    int bytes = 0;
+    return is_open() && ::ioctl(stream_.get_handle(), which, &bytes) == 0 && bytes > 0
+               ? static_cast<std::size_t>(bytes)
+               : 0;
+}
+
+std::size_t tcp_connection::unacknowledged() const
+{
+    return queued_bytes(SIOCOUTQ);
+}
+
+void tcp_connection::check_window(instant now)
+{
+    if (std::exchange(written_, false) && !unconfirmed_since_) {
+        unconfirmed_since_ = now;
+    }
+    if (!is_open() || !unconfirmed_since_ || now - *unconfirmed_since_ < window_check_delay) {
+        return;
+    }
+    const std::size_t queued = unacknowledged();
+    if (queued == 0) {
+        unconfirmed_since_.reset();
+    }
+    const bool window_closed = queued > 0 && queued == queued_bytes(SIOCOUTQNSD);
+    set_user_timeout(window_closed ? closed_window_timeout : user_timeout);
+}
+
+void tcp_connection::shut_down_sending()
+{
+    if (is_open()) {
+        ::shutdown(stream_.get_handle(), SHUT_WR);
+        written_ = true;
+    }
 }
 
 bool tcp_connection::adopt(ACE_SOCK_Stream& accepted)
@@ -110,6 +163,7 @@
             break;
         }
         sent_any = true;
+        written_ = true;
         out_sent_ += static_cast<std::size_t>(sent);
     }
     if (out_sent_ == out_.size()) {
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -134,6 +134,30 @@
 std::string exchange(const std::string& address, const std::string& bytes,
                      const std::function<bool(const std::string&)>& enough);
 
+/// The same with a small receive window: reads nothing for `pause` after the bytes are sent.
+std::string exchange_after_pause(const std::string& address, const std::string& bytes, duration pause,
+                                 const std::function<bool(const std::string&)>& enough);
+
+/// A server with a small receive window that accepts one connection, reads nothing for a while, and then
+/// answers one request.
+class pausing_server
+{
+public:
+    using handler = std::function<std::string(const http_request&)>;
+
+    pausing_server(duration pause, handler handler_function);
+    ~pausing_server();
+    pausing_server(const pausing_server&) = delete;
+    pausing_server& operator=(const pausing_server&) = delete;
+
+    [[nodiscard]] const std::string& address() const { return address_; }
+
+private:
+    std::string address_;
+    int listener_ = -1;
+    std::thread thread_;
+};
+
 /// Sends one datagram to `IP:port`.
 void send_datagram(const std::string& address, const std::string& bytes);
 
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -52,6 +52,36 @@
     }
 }
 
+void limit_window(int socket)
+{
+    const int small = 32768;
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+}
+
+/// Sends the bytes over a new connection, waits, and reads until there is enough.
+std::string exchange_over(int connection, const std::string& address, const std::string& bytes,
+                          duration pause, const std::function<bool(const std::string&)>& enough)
+{
+    const timeval receive_timeout{receive_timeout_s, 0};
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
+    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
+    std::string received;
+    if (::connect(connection, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
+        send_all(connection, bytes);
+        std::this_thread::sleep_for(pause);
+        std::array<char, 65536> buffer{};
+        while (!enough(received)) {
+            const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+    ::close(connection);
+    return received;
+}
+
 } // namespace
 
 scripted_server::scripted_server(handler handler_function) : handler_(std::move(handler_function))
@@ -245,23 +275,50 @@
                      const std::function<bool(const std::string&)>& enough)
 {
     const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
-    const timeval receive_timeout{receive_timeout_s, 0};
-    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
-    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
-    std::string received;
-    if (::connect(connection, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
-        send_all(connection, bytes);
+    return exchange_over(connection, address, bytes, {}, enough);
+}
+
+std::string exchange_after_pause(const std::string& address, const std::string& bytes, duration pause,
+                                 const std::function<bool(const std::string&)>& enough)
+{
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    limit_window(connection);
+    return exchange_over(connection, address, bytes, pause, enough);
+}
+
+pausing_server::pausing_server(duration pause, handler handler_function)
+{
+    sockaddr_in local{};
+    listener_ = open_listener(local);
+    limit_window(listener_);
+    ::listen(listener_, 1);
+    address_ = to_text(local);
+    thread_ = std::thread([this, pause, respond = std::move(handler_function)] {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        std::this_thread::sleep_for(pause);
         std::array<char, 65536> buffer{};
-        while (!enough(received)) {
+        std::string in;
+        request_reader reader({});
+        for (;;) {
             const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
             if (got <= 0) {
                 break;
             }
-            received.append(buffer.data(), static_cast<std::size_t>(got));
+            in.append(buffer.data(), static_cast<std::size_t>(got));
+            if (reader.read(in) == read_progress::complete) {
+                send_all(connection, respond(reader.take()));
+                break;
+            }
         }
-    }
-    ::close(connection);
-    return received;
+        ::close(connection);
+    });
+}
+
+pausing_server::~pausing_server()
+{
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    ::close(listener_);
 }
 
 void send_datagram(const std::string& address, const std::string& bytes)
