--- a/src/currantspar/gateway/framing_test.cpp
+++ b/src/currantspar/gateway/framing_test.cpp
@@ -183,12 +183,12 @@
 /// Guards against a trailer's fields that are forwarded as fields of the head.
 BOOST_AUTO_TEST_CASE(fields_of_a_trailer_are_no_fields_of_the_head)
 {
-    std::string bytes = with_fields("X-Model: a\r\nTransfer-Encoding: chunked\r\n") +
-                        "1\r\nx\r\n0\r\nX-Model: b\r\nX-More: c\r\n\r\n";
+    std::string bytes = with_fields("X-Kind: a\r\nTransfer-Encoding: chunked\r\n") +
+                        "1\r\nx\r\n0\r\nX-Kind: b\r\nX-More: c\r\n\r\n";
     request_reader reader({});
     BOOST_REQUIRE((reader.read(bytes) == read_progress::complete));
     const http_request request = reader.take();
-    BOOST_TEST(*find_field(request.fields, "X-Model") == "a");
+    BOOST_TEST(*find_field(request.fields, "X-Kind") == "a");
     BOOST_TEST(find_field(request.fields, "X-More") == nullptr);
     BOOST_TEST(request.fields.size() == 3U);
 }
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -16,17 +16,6 @@
 constexpr int status_unavailable = 503;
 /// The fraction of the retry budget that is used, because a node learns late how many nodes share it.
 constexpr double retry_margin = 0.8;
-/// From the stop signal until idle connections are closed; the load balancer has drained the node by then.
-constexpr duration balancer_drain_time = std::chrono::milliseconds(2600);
-/// From the stop signal until new requests are refused: the load balancer sends none by then, and what comes
-/// over a kept connection might not end before the process does.
-constexpr duration accept_while_stopping = std::chrono::milliseconds(3000);
-/// The fraction of the grace after which new requests are refused, where the grace is short.
-constexpr int accepting_divisor = 2;
-/// Open requests are ended this long before the process would be killed.
-constexpr duration ending_margin = std::chrono::milliseconds(500);
-/// The process exits this long before it would be killed, also when a caller hasn't read its response.
-constexpr duration exit_margin = std::chrono::milliseconds(250);
 constexpr duration idle_check_period = std::chrono::milliseconds(250);
 /// For the node's own calls, whose responses no request waits for.
 constexpr duration call_timeout = std::chrono::milliseconds(1500);
@@ -137,8 +126,7 @@
         from.respond(400, {}, "", false);
         return;
     }
-    if (stopping_ &&
-        now - stop_began_ > std::min(accept_while_stopping, settings_.grace / accepting_divisor)) {
+    if (!accepts_requests(now)) {
         refuse_while_stopping(from, decoded->id);
         return;
     }
@@ -149,14 +137,6 @@
     update_peers(now);
 }
 
-void gateway_node::refuse_while_stopping(caller_connection& from, const std::string& request_id)
-{
-    io::log_event(io::log_level::info, "request_rejected",
-                  {{"request", request_id}, {"reason", relay::stopping_reason}});
-    const relay::reply refusal{{}, status_unavailable, relay::stopping_retry, relay::stopping_reason};
-    from.respond(refusal.status, wire_.encode_reply(refusal), "", true);
-}
-
 void gateway_node::request_malformed(int status)
 {
     io::log_event(io::log_level::warning, "request_malformed", {{"status", std::to_string(status)}});
@@ -170,17 +150,6 @@
     }
 }
 
-void gateway_node::close_idle(instant now)
-{
-    const relay::caller_limits allowed = limits();
-    for (caller_connection* connection : caller_server_.connections()) {
-        connection->check_time(allowed, now);
-        if (stopping_ && now - stop_began_ > balancer_drain_time && connection->is_open()) {
-            connection->close_if_idle();
-        }
-    }
-}
-
 gateway_node::caller* gateway_node::find_caller(relay::request_number number)
 {
     const auto found = callers_.find(number);
@@ -381,9 +350,7 @@
     core_.quarantine().set_rank(peers_.rank());
     core_.engines().set_view_lag(peers_.digest_period());
     run(core_.on_tick(now), now);
-    if (stopping_ && now - stop_began_ > settings_.grace - ending_margin) {
-        end_open_requests(now);
-    }
+    end_open_requests(now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
         close_idle(now);
@@ -409,24 +376,6 @@
     }
 }
 
-void gateway_node::stop(instant requested)
-{
-    if (!std::exchange(stopping_, true)) {
-        stop_began_ = requested;
-        io::log_event(io::log_level::info, "stopping",
-                      {{"open_requests", std::to_string(core_.open_requests())}});
-    }
-}
-
-void gateway_node::end_open_requests(instant now)
-{
-    if (core_.open_requests() > 0) {
-        io::log_event(io::log_level::warning, "grace_over",
-                      {{"open_requests", std::to_string(core_.open_requests())}});
-        run(core_.end_all(now), now);
-    }
-}
-
 void gateway_node::reload(const gateway_settings& new_settings)
 {
     if (new_settings.store_address != settings_.store_address) {
@@ -442,14 +391,4 @@
     return core_.ready() && !stopping_;
 }
 
-bool gateway_node::done(instant now) const
-{
-    if (!stopping_) {
-        return false;
-    }
-    const bool idle = core_.open_requests() == 0 && caller_server_.size() == 0;
-    return (idle && now - stop_began_ > balancer_drain_time) ||
-           now - stop_began_ > settings_.grace - exit_margin;
-}
-
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -58,9 +58,11 @@
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
     void connection_closed(caller_connection& closed) override;
+    /// False late in a stop, when a request might not end before the process does.
+    [[nodiscard]] bool accepts_requests(instant now) const;
     /// Answers a request that arrived late during a stop as not run.
     void refuse_while_stopping(caller_connection& from, const std::string& request_id);
-    /// Ends all open requests shortly before the process exits.
+    /// Ends all open requests when a stop runs out of time.
     void end_open_requests(instant now);
     /// The callers' limits of the configuration in force.
     [[nodiscard]] relay::caller_limits limits() const;
