--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -45,14 +45,19 @@
     void continue_response(std::string_view bytes);
     void end_response();
     /// Closes at once; without the last chunk the caller sees that a streamed response is truncated.
-    void abort();
+    void abort(std::string_view reason);
+    /// Why the connection was closed; empty before that.
+    [[nodiscard]] const std::string& close_reason() const { return close_reason_; }
 
     [[nodiscard]] bool has_request() const { return request_open_; }
     [[nodiscard]] bool has_begun_response() const { return response_begun_; }
     /// Answers a request that arrives too slowly with an error, and closes a connection that is idle too
     /// long.
     void check_time(const relay::caller_limits& limits, instant now);
-    /// Closes the connection when no request is open or partly received and no output is unsent.
+    /// Goes on with pipelined requests that one event left, and closes once the last response has arrived.
+    void on_tick(instant now);
+    /// Closes the connection when no request is open, partly received or waits to be read, and no output is
+    /// unsent.
     void close_if_idle();
 
     relay::request_number number; ///< of the open request
@@ -60,9 +65,11 @@
 protected:
     void on_bytes(std::string_view bytes) override;
     void on_sent() override;
-    void on_closed(bool reset) override;
+    void on_closed(std::error_code problem) override;
 
 private:
+    /// True when received bytes wait to be parsed and no request is open.
+    [[nodiscard]] bool has_unread_request() const;
     void read_request();
     void refuse(int status);
     void on_response_finished();
@@ -72,6 +79,7 @@
     reader_limits limits_;
     std::optional<request_reader> reader_;
     std::string in_;
+    std::string close_reason_;
     bool request_open_ = false;
     bool response_begun_ = false;
     bool close_after_ = false;
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t max_pipelined_bytes = 1048576;
 /// The connection is closed when its caller leaves more output than this unread.
 constexpr std::size_t max_unsent_bytes = 8388608;
+/// A caller that reads nothing of its last response for so long loses the rest.
+constexpr duration max_unread_time = std::chrono::seconds(30);
+/// Pipelined requests that one event answers, when each is answered at once; the rest follows in the next
+/// ticks.
+constexpr int max_requests_at_once = 16;
 
 int to_status(read_progress problem)
 {
@@ -44,19 +49,34 @@
     }
     in_.append(bytes);
     if (in_.size() > max_pipelined_bytes + limits_.body_bytes) {
-        abort();
+        abort("too many pipelined bytes");
         return;
     }
     read_request();
 }
 
+bool caller_connection::has_unread_request() const
+{
+    return is_open() && !closing_ && !request_open_ && !in_.empty();
+}
+
+void caller_connection::on_tick(instant now)
+{
+    check_window(now);
+    if (closing_ && unsent() == 0 && unacknowledged() == 0) {
+        close_and_notify();
+    } else if (has_unread_request()) {
+        read_request();
+    }
+}
+
 void caller_connection::read_request()
 {
     if (parsing_) {
         return;
     }
     parsing_ = true;
-    while (is_open() && !closing_ && !request_open_ && !in_.empty()) {
+    for (int count = 0; count < max_requests_at_once && has_unread_request(); ++count) {
         if (!reader_) {
             reader_.emplace(limits_);
             continue_sent_ = false;
@@ -126,7 +146,7 @@
     }
     write(write_chunk(bytes));
     if (unsent() > max_unsent_bytes) {
-        abort();
+        abort("too much unread output");
     }
 }
 
@@ -150,8 +170,13 @@
 
 void caller_connection::on_sent()
 {
-    if (closing_ && unsent() == 0) {
-        close_and_notify();
+    if (!closing_) {
+        return;
+    }
+    since_ = io::monotonic_now();
+    if (unsent() == 0) {
+        // on_tick() closes once the caller has it all: a close with unread input would destroy it on its way.
+        shut_down_sending();
     }
 }
 
@@ -163,13 +188,15 @@
     }
 }
 
-void caller_connection::abort()
+void caller_connection::abort(std::string_view reason)
 {
+    close_reason_ = reason;
     close_and_notify();
 }
 
-void caller_connection::on_closed(bool)
+void caller_connection::on_closed(std::error_code problem)
 {
+    close_reason_ = problem ? problem.message() : "closed by the caller";
     sink_.connection_closed(*this);
 }
 
@@ -179,14 +206,14 @@
         return;
     }
     if (closing_) {
-        if (now - since_ > limits.header_timeout) {
+        if (now - since_ > max_unread_time) {
             close_and_notify();
         }
         return;
     }
     if (!reader_ && in_.empty()) {
         if (now - since_ > limits.idle_timeout) {
-            close_and_notify();
+            close_if_idle();
         }
         return;
     }
@@ -199,7 +226,8 @@
 
 void caller_connection::close_if_idle()
 {
-    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0) {
+    // A request that waits in the kernel is lost when the connection closes.
+    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0 && !has_unread_input()) {
         close_and_notify();
     }
 }
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -15,7 +15,7 @@
 {
     listener_.close();
     while (!connections_.empty()) {
-        connections_.begin()->first->abort();
+        connections_.begin()->first->abort("the front closes");
     }
 }
 
@@ -28,6 +28,15 @@
     return open;
 }
 
+void caller_server::on_tick(instant now)
+{
+    closed_.clear();
+    // A connection that closes itself meanwhile is freed in the next tick.
+    for (caller_connection* connection : connections()) {
+        connection->on_tick(now);
+    }
+}
+
 void caller_server::accept(ACE_SOCK_Stream& accepted)
 {
     caller_sink& self = *this;
--- a/src/currantspar/gateway/gateway_metrics.hpp
+++ b/src/currantspar/gateway/gateway_metrics.hpp
@@ -15,7 +15,9 @@
     std::uint64_t server_connects = 0;
     std::uint64_t caller_connections = 0;
     std::uint64_t live_nodes = 0;
-    std::uint64_t configuration = 0; ///< version of the configuration in force
+    std::uint64_t configuration = 0;  ///< version of the configuration in force
+    std::uint64_t buffered_bytes = 0; ///< of incomplete responses
+    std::uint64_t dropped_log_lines = 0;
     bool ready = false;
 };
 
@@ -30,6 +32,8 @@
     void on_ended(duration after);
     /// Records the measured and the predicted time from a request's arrival to its stream's first event.
     void on_first_event(duration measured, duration predicted);
+    /// Records how much later than scheduled the node's periodic work began.
+    void on_tick_delay(duration delay);
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const relay::relay_core& core, const gateway_counts& counts);
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -16,17 +16,11 @@
 constexpr int status_unavailable = 503;
 /// The fraction of the retry budget that is used, because a node learns late how many nodes share it.
 constexpr double retry_margin = 0.8;
-/// From the stop signal until idle connections are closed; the load balancer has drained the node by then.
-constexpr duration balancer_drain_time = std::chrono::milliseconds(2600);
-/// From the stop signal until new requests are refused: the load balancer sends none by then, and what comes
-/// over a kept connection might not end before the process does.
-constexpr duration accept_while_stopping = std::chrono::milliseconds(3000);
-/// The node stops this long before the process would be killed.
-constexpr duration stop_margin = std::chrono::milliseconds(400);
 constexpr duration idle_check_period = std::chrono::milliseconds(250);
 /// For the node's own calls, whose responses no request waits for.
 constexpr duration call_timeout = std::chrono::milliseconds(1500);
 constexpr duration announce_retry = std::chrono::seconds(2);
+constexpr duration min_logged_tick_delay = std::chrono::milliseconds(250);
 constexpr duration speed_log_period = std::chrono::seconds(1);
 /// Relative to the value that was logged last.
 constexpr double min_logged_speed_change = 0.25;
@@ -105,8 +99,13 @@
 
 http_response gateway_node::handle_metrics_request()
 {
-    const gateway_counts counts{servers_.connects(), caller_server_.size(), peers_.live_nodes(),
-                                core_.routes().version(), ready()};
+    const gateway_counts counts{servers_.connects(),
+                                caller_server_.size(),
+                                peers_.live_nodes(),
+                                core_.routes().version(),
+                                buffered_bytes_,
+                                io::dropped_log_lines(),
+                                ready()};
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text(core_, counts)};
 }
 
@@ -127,7 +126,7 @@
         from.respond(400, {}, "", false);
         return;
     }
-    if (stopping_ && now - stop_began_ > accept_while_stopping) {
+    if (!accepts_requests(now)) {
         refuse_while_stopping(from, decoded->id);
         return;
     }
@@ -138,14 +137,6 @@
     update_peers(now);
 }
 
-void gateway_node::refuse_while_stopping(caller_connection& from, const std::string& request_id)
-{
-    io::log_event(io::log_level::info, "request_rejected", {{"request", request_id}, {"reason", "stopping"}});
-    // Another node can serve it at once.
-    const relay::reply refusal{{}, status_unavailable, std::chrono::milliseconds(1), "stopping"};
-    from.respond(refusal.status, wire_.encode_reply(refusal), "", true);
-}
-
 void gateway_node::request_malformed(int status)
 {
     io::log_event(io::log_level::warning, "request_malformed", {{"status", std::to_string(status)}});
@@ -155,18 +146,7 @@
 {
     if (closed.has_request() && callers_.erase(closed.number) > 0) {
         const instant now = io::monotonic_now();
-        run(core_.on_caller_disconnected(closed.number, now), now);
-    }
-}
-
-void gateway_node::close_idle(instant now)
-{
-    const relay::caller_limits allowed = limits();
-    for (caller_connection* connection : caller_server_.connections()) {
-        connection->check_time(allowed, now);
-        if (stopping_ && now - stop_began_ > balancer_drain_time && connection->is_open()) {
-            connection->close_if_idle();
-        }
+        run(core_.on_caller_disconnected(closed.number, closed.close_reason(), now), now);
     }
 }
 
@@ -237,7 +217,7 @@
 void gateway_node::apply(const relay::abort_response& effect, instant now)
 {
     if (caller_connection* connection = finish_caller(effect.request, now)) {
-        connection->abort();
+        connection->abort("response aborted");
     }
 }
 
@@ -354,6 +334,7 @@
 
 void gateway_node::on_tick(instant now)
 {
+    io::flush_log();
     log_engine_speeds(now);
     store_reader_.on_tick(now);
     announce(now);
@@ -369,6 +350,7 @@
     core_.quarantine().set_rank(peers_.rank());
     core_.engines().set_view_lag(peers_.digest_period());
     run(core_.on_tick(now), now);
+    end_open_requests(now);
     if (now >= idle_check_due_) {
         idle_check_due_ = now + idle_check_period;
         close_idle(now);
@@ -377,18 +359,20 @@
         was_ready_ = core_.ready();
         io::log_event(io::log_level::info, "readiness_changed", {{"ready", was_ready_ ? "true" : "false"}});
     }
-    caller_server_.on_tick();
+    caller_server_.on_tick(now);
     retired_.clear();
-    readiness_server_.on_tick();
-    metrics_server_.on_tick();
+    readiness_server_.on_tick(now);
+    metrics_server_.on_tick(now);
 }
 
-void gateway_node::stop(instant now)
+void gateway_node::on_tick_delay(duration delay)
 {
-    if (!std::exchange(stopping_, true)) {
-        stop_began_ = now;
-        io::log_event(io::log_level::info, "stopping",
-                      {{"open_requests", std::to_string(core_.open_requests())}});
+    metrics_.on_tick_delay(delay);
+    if (delay > min_logged_tick_delay) {
+        const auto delay_ms = std::chrono::duration_cast<std::chrono::milliseconds>(delay);
+        io::log_event(io::log_level::warning, "reactor_stalled",
+                      {{"delay_ms", std::to_string(delay_ms.count())},
+                       {"open_requests", std::to_string(core_.open_requests())}});
     }
 }
 
@@ -407,14 +391,4 @@
     return core_.ready() && !stopping_;
 }
 
-bool gateway_node::done(instant now) const
-{
-    if (!stopping_) {
-        return false;
-    }
-    const bool idle = core_.open_requests() == 0 && caller_server_.size() == 0;
-    return (idle && now - stop_began_ > balancer_drain_time) ||
-           now - stop_began_ > settings_.grace - stop_margin;
-}
-
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -32,12 +32,15 @@
 
     /// Opens the listeners and starts reading the shared store.
     [[nodiscard]] result<void> start();
-    /// Starts a graceful stop: the node is no longer ready, later closes idle connections, and is done() once
-    /// no request is open.
-    void stop(instant now);
+    /// Starts a graceful stop that was requested at `requested`: the node is no longer ready, later closes
+    /// idle connections, and is done() once no request is open. Requests that are open near the end of the
+    /// grace get an error response. Further calls have no effect.
+    void stop(instant requested);
     /// Applies the settings that may change at run time.
     void reload(const gateway_settings& new_settings);
     void on_tick(instant now);
+    /// Reports how much later than scheduled a tick comes: for so long nothing else was served either.
+    void on_tick_delay(duration delay);
     [[nodiscard]] bool done(instant now) const;
     /// True while requests can be served and the node isn't stopping.
     [[nodiscard]] bool ready() const;
@@ -55,8 +58,12 @@
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
     void connection_closed(caller_connection& closed) override;
+    /// False late in a stop, when a request might not end before the process does.
+    [[nodiscard]] bool accepts_requests(instant now) const;
     /// Answers a request that arrived late during a stop as not run.
     void refuse_while_stopping(caller_connection& from, const std::string& request_id);
+    /// Ends all open requests when a stop runs out of time.
+    void end_open_requests(instant now);
     /// The callers' limits of the configuration in force.
     [[nodiscard]] relay::caller_limits limits() const;
     /// Closes connections whose request is overdue or that are idle too long; while stopping, once the load
@@ -82,6 +89,10 @@
     void on_complete(attempt& from);
     void on_failed(attempt& from, bool written, const std::string& detail);
     void retire(attempt_id number);
+    /// Sets what an attempt counts for in the node's total of buffered bytes.
+    void count_buffered(attempt& from, std::size_t bytes);
+    /// Fails the attempts with the largest responses until the rest fits into the memory for them.
+    void enforce_buffer_limit();
 
     // Peers.
     /// Applies a peer's digest.
@@ -121,6 +132,7 @@
     std::unordered_map<relay::request_number, caller> callers_;
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
     std::vector<std::unique_ptr<attempt>> retired_;
+    std::size_t buffered_bytes_ = 0; ///< of all attempts' responses
     std::uint64_t last_request_ = 0;
     bool stopping_ = false;
     bool was_ready_ = false;
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -107,18 +107,29 @@
         read_responses();
     }
 
-    void on_closed(bool reset) override
+    void on_closed(std::error_code problem) override
     {
-        if (sink_ != nullptr && !reset && reader_->end_of_connection() && head_delivered_ && !skipping_) {
+        if (sink_ != nullptr && !problem && reader_->end_of_connection() && head_delivered_ && !skipping_) {
             pool_.drop(*this);
             exchange_sink* sink = std::exchange(sink_, nullptr);
             sink->response_complete();
             return;
         }
-        fail(!connected_ ? "connect failed" : reset ? "connection reset" : "connection closed");
+        fail(failure_detail(problem));
     }
 
 private:
+    [[nodiscard]] std::string failure_detail(std::error_code problem) const
+    {
+        if (!connected_) {
+            return "connect failed: " + problem.message();
+        }
+        if (problem == std::errc::connection_reset) {
+            return "connection reset";
+        }
+        return problem ? "connection failed: " + problem.message() : "connection closed";
+    }
+
     void read_responses()
     {
         while (sink_ != nullptr) {
@@ -156,12 +167,23 @@
         head_delivered_ = true;
         update_idle_time();
         skipping_ = !sink_->response_head(reader_->status(), reader_->fields());
-        if (sink_ != nullptr && !skipping_ && !sink_->limits_body()) {
-            reader_->allow_endless_body();
+        if (sink_ != nullptr && !skipping_) {
+            limit_body(sink_->max_body_bytes());
         }
         return sink_ != nullptr;
     }
 
+    void limit_body(std::size_t most)
+    {
+        body_bytes_left_ = most;
+        if (most == unlimited_body_bytes) {
+            reader_->allow_endless_body();
+        }
+        if (reader_->content_length().value_or(0) > most) {
+            fail("response body is too large");
+        }
+    }
+
     /// Fails the request unless the response can be read on.
     bool is_sound(read_progress progress)
     {
@@ -175,9 +197,15 @@
     void deliver_body()
     {
         const std::string body = reader_->take_body();
-        if (!body.empty() && !skipping_) {
-            sink_->response_body(body);
+        if (body.empty() || skipping_) {
+            return;
+        }
+        if (body.size() > body_bytes_left_) {
+            fail("response body is too large");
+            return;
         }
+        body_bytes_left_ -= body.size();
+        sink_->response_body(body);
     }
 
     void complete()
@@ -215,6 +243,7 @@
     bool head_delivered_ = false;
     bool skipping_ = false;
     unsigned skipped_responses_ = 0;
+    std::size_t body_bytes_left_ = 0; ///< of the limit on the current response's body
     duration idle_time_{};
     instant opened_{};
     instant usable_until_{};
@@ -308,6 +337,7 @@
     now_ = now;
     std::vector<connection*> overdue;
     for (const auto& [exchange, busy] : busy_) {
+        busy->check_window(now);
         if (!busy->is_open() || (!busy->connected() && now - busy->opened() > options_.connect_timeout)) {
             overdue.push_back(busy);
         }
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -2,23 +2,35 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Connector.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace currantspar::gateway {
 
 namespace {
 
-constexpr std::size_t read_bytes = 65536;
 /// The kernel closes a connection whose peer doesn't acknowledge sent data for about this long.
-constexpr int user_timeout_ms = 2500;
+constexpr std::chrono::milliseconds user_timeout(2500);
+/// The same for a peer that acknowledges all that it has room for, but reads nothing: the kernel doesn't tell
+/// it from a dead one.
+constexpr std::chrono::milliseconds closed_window_timeout(30000);
+/// From a write until its acknowledgement is checked; well before the kernel's timeout.
+constexpr duration window_check_delay = std::chrono::seconds(1);
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
+std::error_code to_error(int problem)
+{
+    return {problem, std::generic_category()};
+}
+
 template <typename Value>
 void set_option(ACE_SOCK_Stream& stream, int level, int name, Value value)
 {
@@ -42,7 +54,52 @@
     set_option(stream_, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_user_timeout(user_timeout);
+}
+
+void tcp_connection::set_user_timeout(std::chrono::milliseconds timeout)
+{
+    if (timeout != user_timeout_) {
+        user_timeout_ = timeout;
+        set_option(stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+    }
+}
+
+std::size_t tcp_connection::queued_bytes(unsigned long which) const
+{
+    int bytes = 0;
+    return is_open() && ::ioctl(stream_.get_handle(), which, &bytes) == 0 && bytes > 0
+               ? static_cast<std::size_t>(bytes)
+               : 0;
+}
+
+std::size_t tcp_connection::unacknowledged() const
+{
+    return queued_bytes(SIOCOUTQ);
+}
+
+void tcp_connection::check_window(instant now)
+{
+    if (std::exchange(written_, false) && !unconfirmed_since_) {
+        unconfirmed_since_ = now;
+    }
+    if (!is_open() || !unconfirmed_since_ || now - *unconfirmed_since_ < window_check_delay) {
+        return;
+    }
+    const std::size_t queued = unacknowledged();
+    if (queued == 0) {
+        unconfirmed_since_.reset();
+    }
+    const bool window_closed = queued > 0 && queued == queued_bytes(SIOCOUTQNSD);
+    set_user_timeout(window_closed ? closed_window_timeout : user_timeout);
+}
+
+void tcp_connection::shut_down_sending()
+{
+    if (is_open()) {
+        ::shutdown(stream_.get_handle(), SHUT_WR);
+        written_ = true;
+    }
 }
 
 bool tcp_connection::adopt(ACE_SOCK_Stream& accepted)
@@ -79,6 +136,12 @@
     }
 }
 
+bool tcp_connection::has_unread_input() const
+{
+    char next = 0;
+    return is_open() && ::recv(stream_.get_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool tcp_connection::flush()
 {
     bool sent_any = false;
@@ -90,7 +153,9 @@
                 continue;
             }
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                // The error is left to handle_input(), so that bytes that the peer sent before aren't lost.
+                // handle_input() reports it, after the bytes that the peer sent before. EPIPE follows an
+                // orderly end.
+                send_problem_ = errno == EPIPE ? send_problem_ : to_error(errno);
                 out_.clear();
                 out_sent_ = 0;
                 break;
@@ -98,6 +163,7 @@
             break;
         }
         sent_any = true;
+        written_ = true;
         out_sent_ += static_cast<std::size_t>(sent);
     }
     if (out_sent_ == out_.size()) {
@@ -136,32 +202,22 @@
     stream_.close();
 }
 
-void tcp_connection::handle_disconnect(bool reset)
+void tcp_connection::handle_disconnect(std::error_code problem)
 {
     close();
-    on_closed(reset);
+    on_closed(problem);
 }
 
 int tcp_connection::handle_input(ACE_HANDLE)
 {
-    static std::array<char, read_bytes> buffer;
-    while (is_open()) {
-        const ssize_t got = ::recv(stream_.get_handle(), buffer.data(), buffer.size(), 0);
-        if (got > 0) {
-            on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
-            if (static_cast<std::size_t>(got) < buffer.size()) {
-                break;
-            }
-            continue;
-        }
-        if (got < 0 && errno == EINTR) {
-            continue;
-        }
-        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            break;
-        }
-        handle_disconnect(got < 0);
-        break;
+    // One read: the reactor calls again for what is left, after it has served the other connections.
+    static std::array<char, max_read_bytes> buffer;
+    const ssize_t got = ::recv(stream_.get_handle(), buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+        on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+    } else if (got == 0 || (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
+        // A failed send() has taken the error from the socket, and recv() then finds an orderly end.
+        handle_disconnect(got < 0 ? to_error(errno) : send_problem_);
     }
     return 0;
 }
@@ -171,8 +227,11 @@
     if (connecting_) {
         int problem = 0;
         int size = sizeof problem;
-        if (stream_.get_option(SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0) {
-            handle_disconnect(true);
+        if (stream_.get_option(SOL_SOCKET, SO_ERROR, &problem, &size) != 0) {
+            problem = errno;
+        }
+        if (problem != 0) {
+            handle_disconnect(to_error(problem));
             return 0;
         }
         connecting_ = false;
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "currantspar/io/address.hpp"
+#include "currantspar/io/clock.hpp"
 #include "currantspar/io/test_socket.hpp"
 
 // The scripted servers and callers of the gateway's tests; linked into the test program only.
@@ -51,6 +52,36 @@
     }
 }
 
+void limit_window(int socket)
+{
+    const int small = 32768;
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+}
+
+/// Sends the bytes over a new connection, waits, and reads until there is enough.
+std::string exchange_over(int connection, const std::string& address, const std::string& bytes,
+                          duration pause, const std::function<bool(const std::string&)>& enough)
+{
+    const timeval receive_timeout{receive_timeout_s, 0};
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
+    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
+    std::string received;
+    if (::connect(connection, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
+        send_all(connection, bytes);
+        std::this_thread::sleep_for(pause);
+        std::array<char, 65536> buffer{};
+        while (!enough(received)) {
+            const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+    ::close(connection);
+    return received;
+}
+
 } // namespace
 
 scripted_server::scripted_server(handler handler_function) : handler_(std::move(handler_function))
@@ -110,7 +141,8 @@
         reader.emplace(reader_limits{});
         send_all(connection, next.bytes);
         holding = next.hold;
-        while (!stopping_ && !next.endless.empty()) {
+        const instant endless_until = io::monotonic_now() + next.endless_for;
+        while (!stopping_ && !next.endless.empty() && io::monotonic_now() < endless_until) {
             const ssize_t sent = ::send(connection, next.endless.data(), next.endless.size(), MSG_NOSIGNAL);
             if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
                 break;
@@ -153,27 +185,140 @@
     }
 }
 
+discarding_caller::discarding_caller(const std::string& address, const std::string& bytes)
+    : caller_(address, bytes), thread_([this] {
+          std::array<char, 65536> buffer{};
+          while (!stopping_) {
+              const ssize_t got = ::recv(caller_.handle(), buffer.data(), buffer.size(), 0);
+              if (got <= 0) {
+                  return;
+              }
+              received_ += static_cast<std::size_t>(got);
+          }
+      })
+{}
+
+void discarding_caller::send(const std::string& bytes)
+{
+    send_all(caller_.handle(), bytes);
+}
+
+discarding_caller::~discarding_caller()
+{
+    stopping_ = true;
+    ::shutdown(caller_.handle(), SHUT_RDWR);
+    thread_.join();
+}
+
+raw_peer::raw_peer()
+{
+    sockaddr_in local{};
+    listener_ = open_listener(local);
+    ::listen(listener_, 1);
+    address_ = to_text(local);
+}
+
+raw_peer::~raw_peer()
+{
+    close();
+    ::close(listener_);
+}
+
+void raw_peer::accept()
+{
+    connection_ = ::accept(listener_, nullptr, nullptr);
+}
+
+void raw_peer::send(const std::string& bytes)
+{
+    send_all(connection_, bytes);
+}
+
+std::size_t raw_peer::send_until_blocked()
+{
+    // Bytes that are under way make room again, so one refusal isn't the end.
+    constexpr int max_refusals = 20;
+    const std::string bytes(65536, 'x');
+    std::size_t total = 0;
+    for (int refusals = 0; refusals < max_refusals;) {
+        const ssize_t sent = ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0) {
+            total += static_cast<std::size_t>(sent);
+        } else {
+            refusals += 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+    return total;
+}
+
+void raw_peer::shut_down_sending()
+{
+    ::shutdown(connection_, SHUT_WR);
+}
+
+void raw_peer::close()
+{
+    if (connection_ >= 0) {
+        ::close(std::exchange(connection_, -1));
+    }
+}
+
+void raw_peer::reset()
+{
+    const linger at_once{1, 0};
+    setsockopt(connection_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
 std::string exchange(const std::string& address, const std::string& bytes,
                      const std::function<bool(const std::string&)>& enough)
 {
     const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
-    const timeval receive_timeout{receive_timeout_s, 0};
-    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
-    const sockaddr_in remote = io::to_sockaddr(*io::parse_address(address));
-    std::string received;
-    if (::connect(connection, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) == 0) {
-        send_all(connection, bytes);
+    return exchange_over(connection, address, bytes, {}, enough);
+}
+
+std::string exchange_after_pause(const std::string& address, const std::string& bytes, duration pause,
+                                 const std::function<bool(const std::string&)>& enough)
+{
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    limit_window(connection);
+    return exchange_over(connection, address, bytes, pause, enough);
+}
+
+pausing_server::pausing_server(duration pause, handler handler_function)
+{
+    sockaddr_in local{};
+    listener_ = open_listener(local);
+    limit_window(listener_);
+    ::listen(listener_, 1);
+    address_ = to_text(local);
+    thread_ = std::thread([this, pause, respond = std::move(handler_function)] {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        std::this_thread::sleep_for(pause);
         std::array<char, 65536> buffer{};
-        while (!enough(received)) {
+        std::string in;
+        request_reader reader({});
+        for (;;) {
             const ssize_t got = ::recv(connection, buffer.data(), buffer.size(), 0);
             if (got <= 0) {
                 break;
             }
-            received.append(buffer.data(), static_cast<std::size_t>(got));
+            in.append(buffer.data(), static_cast<std::size_t>(got));
+            if (reader.read(in) == read_progress::complete) {
+                send_all(connection, respond(reader.take()));
+                break;
+            }
         }
-    }
-    ::close(connection);
-    return received;
+        ::close(connection);
+    });
+}
+
+pausing_server::~pausing_server()
+{
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    ::close(listener_);
 }
 
 void send_datagram(const std::string& address, const std::string& bytes)
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -136,7 +136,8 @@
     return out;
 }
 
-relay_effects relay_core::on_caller_disconnected(request_number number, instant now)
+relay_effects relay_core::on_caller_disconnected(request_number number, const std::string& detail,
+                                                 instant now)
 {
     relay_effects out;
     const auto it = requests_.find(number);
@@ -154,7 +155,8 @@
     accounts_[req.service].caller_gone += 1;
     out.push_back(log_decision{"caller_gone",
                                req.info.id,
-                               {{"after_ms", milliseconds_text(now - req.arrived)},
+                               {{"detail", detail},
+                                {"after_ms", milliseconds_text(now - req.arrived)},
                                 {"server", req.server.str()},
                                 {"last_event", req.last_event}}});
     requests_.erase(it);
@@ -367,6 +369,29 @@
     return out;
 }
 
+relay_effects relay_core::end_all(instant now)
+{
+    relay_effects out;
+    while (!requests_.empty()) {
+        const auto it = requests_.begin();
+        cancel_current(it->second, now, out);
+        fail(it, stopping_reason, now, out);
+    }
+    return out;
+}
+
+void relay_core::cancel_current(request& req, instant now, relay_effects& out)
+{
+    if (req.current.value() == 0) {
+        return;
+    }
+    out.push_back(cancel_attempt{req.current});
+    if (req.stage != attempt_stage::prefill_only && req.written) {
+        req.runs += 1;
+    }
+    end_attempt(req, false, now);
+}
+
 relay_effects relay_core::on_tick(instant now)
 {
     relay_effects out;
@@ -377,16 +402,8 @@
     for (auto it = requests_.begin(); it != requests_.end();) {
         const auto next = std::next(it);
         request& req = it->second;
-        const bool has_attempt = req.current.value() != 0;
         if (now >= req.deadline) {
-            if (has_attempt) {
-                out.push_back(cancel_attempt{req.current});
-                const bool prefilling = req.stage == attempt_stage::prefill_only;
-                if (!prefilling && req.written) {
-                    req.runs += 1;
-                }
-                end_attempt(req, false, now);
-            }
+            cancel_current(req, now, out);
             fail(it, "timeout", now, out);
         } else if (const char* late_reason = timeout_reason(req, now)) {
             const attempt_id cancelled = req.current;
