Keep idle-looking connections open until their caller has the rest, and parse again only what an event left

Found by reading the diff: a stop's idle check could close a connection whose caller hadn't acknowledged the end of its last response, which hands the rest to the kernel's timeout; and each tick parsed a partly received request again. Idle now means that all output is acknowledged, and only what one event left is parsed in a tick. Gateway and adapter tests pass.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -56,8 +56,8 @@
     void check_time(const relay::caller_limits& limits, instant now);
     /// Goes on with pipelined requests that one event left, and closes once the last response has arrived.
     void on_tick(instant now);
-    /// Closes the connection when no request is open, partly received or waits to be read, and no output is
-    /// unsent.
+    /// Closes the connection when no request is open, partly received or waits to be read, and the caller has
+    /// all output.
     void close_if_idle();
 
     relay::request_number number; ///< of the open request
@@ -87,7 +87,8 @@
     bool continue_sent_ = false;
     bool closing_ = false; ///< close once all output is sent
     bool parsing_ = false;
-    instant since_{}; ///< start of the request being received, or of the idle time
+    bool requests_left_ = false; ///< one event has answered as many as it may
+    instant since_{};            ///< start of the request being received, or of the idle time
 };
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -65,7 +65,7 @@
     check_window(now);
     if (closing_ && unsent() == 0 && unacknowledged() == 0) {
         close_and_notify();
-    } else if (has_unread_request()) {
+    } else if (requests_left_) {
         read_request();
     }
 }
@@ -76,7 +76,8 @@
         return;
     }
     parsing_ = true;
-    for (int count = 0; count < max_requests_at_once && has_unread_request(); ++count) {
+    int count = 0;
+    for (; count < max_requests_at_once && has_unread_request(); ++count) {
         if (!reader_) {
             reader_.emplace(limits_);
             continue_sent_ = false;
@@ -101,6 +102,7 @@
         sink_.request_arrived(*this, std::move(request));
     }
     parsing_ = false;
+    requests_left_ = count == max_requests_at_once;
 }
 
 void caller_connection::refuse(int status)
@@ -226,8 +228,9 @@
 
 void caller_connection::close_if_idle()
 {
-    // A request that waits in the kernel is lost when the connection closes.
-    if (!request_open_ && !reader_ && in_.empty() && unsent() == 0 && !has_unread_input()) {
+    const bool is_idle = !closing_ && !request_open_ && !reader_ && in_.empty();
+    // What waits in the kernel, a request or the rest of a response, is lost when the connection closes.
+    if (is_idle && unsent() == 0 && unacknowledged() == 0 && !has_unread_input()) {
         close_and_notify();
     }
 }
