--- a/src/currantspar/io/log.cpp
+++ b/src/currantspar/io/log.cpp
@@ -147,8 +147,7 @@
                            "\n";
             }
             if (waiting_.size() + line.size() + 1 > max_waiting_bytes) {
-                dropped_ += 1;
-                dropped_total_ += 1;
+                count_dropped(1);
                 return;
             }
             waiting_.append(line).append("\n");
@@ -164,6 +163,12 @@
         [[nodiscard]] std::uint64_t dropped_total() const { return dropped_total_; }
 
     private:
+        void count_dropped(std::uint64_t lines)
+        {
+            dropped_ += lines;
+            dropped_total_ += lines;
+        }
+
         /// Writes as long as the target takes bytes at once.
         void flush()
         {
@@ -179,6 +184,8 @@
                 if (taken < 0) {
                     if (errno != EAGAIN && errno != EINTR) {
                         // Nobody will read them, for example after EPIPE.
+                        const std::string_view rest = std::string_view(waiting_).substr(written);
+                        count_dropped(static_cast<std::uint64_t>(std::count(rest.begin(), rest.end(), '\n')));
                         written = waiting_.size();
                     }
                     break;
--- a/src/currantspar/io/log_test.cpp
+++ b/src/currantspar/io/log_test.cpp
@@ -121,8 +121,11 @@
     ::signal(SIGPIPE, SIG_IGN);
     piped_output output;
     output.close_reader();
+    const std::uint64_t before = dropped_log_lines();
     auto work = std::async(std::launch::async, [] { log_a_lot("gone-"); });
     BOOST_TEST(ends_soon(work));
+    work.wait();
+    BOOST_TEST(dropped_log_lines() - before >= 1600U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
