Log how many requests the connection of a refused attempt had carried

The three hypotheses of the copied refusals look alike in the log: a refusal that the server sent for this request, and a copy of an earlier one, both are attempt_failed with not_run and the status. A copy needs a connection that carried requests before, so the detail now names the place of the request on its connection.

--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -26,9 +26,9 @@
     exchange_sink& operator=(const exchange_sink&) = delete;
     virtual ~exchange_sink() = default;
 
-    /// The request is sent on a connection that carried others before: a response that names no request may
-    /// belong to one of them.
-    virtual void connection_kept() {}
+    /// The request is sent on a connection that carried `earlier_requests` others: a response that names no
+    /// request may belong to one of them.
+    virtual void connection_kept(std::size_t /*earlier_requests*/) {}
     /// The first byte of the request was written.
     virtual void request_written() {}
     /// The head of a response arrived. Returns false when the response belongs to another request; it is then
--- a/src/currantspar/gateway/gateway_attempt.hpp
+++ b/src/currantspar/gateway/gateway_attempt.hpp
@@ -18,7 +18,7 @@
           request_id(effect.request_id), expects_stream(effect.stream)
     {}
 
-    void connection_kept() override { on_kept_connection_ = true; }
+    void connection_kept(std::size_t earlier_requests) override { earlier_requests_ = earlier_requests; }
     void request_written() override { node_.core_.on_written(number); }
 
     bool response_head(int status, const http_fields& head) override;
@@ -31,8 +31,10 @@
     }
 
     /// True when the response may belong to an earlier request on the connection.
-    [[nodiscard]] bool is_ambiguous() const { return on_kept_connection_ && decoded.request_id.empty(); }
+    [[nodiscard]] bool is_ambiguous() const { return earlier_requests_ > 0 && decoded.request_id.empty(); }
 
+    /// The status of the response and where it was read, for the log.
+    [[nodiscard]] std::string describe_response() const;
     /// Why the head alone rules the response out; empty when it doesn't.
     [[nodiscard]] std::string rejection() const;
     /// True when the body isn't needed, because the request is answered otherwise or sent again.
@@ -45,7 +47,7 @@
 
 private:
     gateway_node& node_;
-    bool on_kept_connection_ = false;
+    std::size_t earlier_requests_ = 0; ///< on the connection of this attempt
 
 public:
     attempt_id number;
--- a/src/currantspar/gateway/gateway_node_responses.cpp
+++ b/src/currantspar/gateway/gateway_node_responses.cpp
@@ -52,6 +52,12 @@
     return true;
 }
 
+std::string gateway_node::attempt::describe_response() const
+{
+    return "status " + std::to_string(decoded.status) + " to request " +
+           std::to_string(earlier_requests_ + 1) + " of its connection";
+}
+
 std::string gateway_node::attempt::rejection() const
 {
     if (is_ambiguous()) {
@@ -156,17 +162,16 @@
             effects = core_.on_stream_end(number, now);
         }
     } else if (decoded.not_run || decoded.status == status_misdirected) {
-        effects = core_.on_failure(number, relay::attempt_failure::not_run,
-                                   "status " + std::to_string(decoded.status), now);
+        effects = core_.on_failure(number, relay::attempt_failure::not_run, from.describe_response(), now);
     } else if (from.stage == relay::attempt_stage::prefill_only) {
         const auto handle = wire_.decode_kv_handle(from.body);
         effects = decoded.status == status_ok && handle
                       ? core_.on_prompt_prefilled(number, *handle, now)
                       : core_.on_failure(number, relay::attempt_failure::lost,
-                                         "prefill failed: status " + std::to_string(decoded.status), now);
+                                         "prefill failed: " + from.describe_response(), now);
     } else if (promises_not_run(decoded.status)) {
         effects = core_.on_failure(number, relay::attempt_failure::lost,
-                                   "unverified status " + std::to_string(decoded.status), now);
+                                   "unverified " + from.describe_response(), now);
     } else {
         effects = core_.on_response(number, decoded, now);
     }
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -53,6 +53,7 @@
     {
         exchange_ = exchange;
         sink_ = &sink;
+        requests_ += 1;
         written_ = false;
         reader_.emplace(pool_.options_.response_limits);
         head_delivered_ = false;
@@ -70,6 +71,8 @@
 
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] exchange_id exchange() const { return exchange_; }
+    /// The number of requests sent so far.
+    [[nodiscard]] std::size_t requests() const { return requests_; }
     [[nodiscard]] bool connected() const { return connected_; }
     [[nodiscard]] instant opened() const { return opened_; }
     [[nodiscard]] instant usable_until() const { return usable_until_; }
@@ -235,6 +238,7 @@
     server_pool& pool_;
     std::string address_;
     exchange_id exchange_ = 0;
+    std::size_t requests_ = 0;
     exchange_sink* sink_ = nullptr;
     std::optional<response_reader> reader_;
     std::string in_;
@@ -266,7 +270,7 @@
         idle.pop_back();
         if (kept->usable(now)) {
             busy_.emplace(exchange, kept);
-            sink.connection_kept();
+            sink.connection_kept(kept->requests());
             kept->begin(exchange, request, sink);
             return exchange;
         }
