Show that a copied refusal is taken for the response to the repeated request

With one server the caller gets 503 for a request that ran (REFUSED); with two, both run it (TWICE, 2 runs). The same holds for an error status of a request that may be repeated: the copy is taken for the response to the retry.

A scripted server can now send bytes before its next response.

--- /dev/null
+++ b/src/currantspar/gateway/repeated_response_test.cpp
@@ -0,0 +1,93 @@
+#include <atomic>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "test_node.hpp"
+
+namespace currantspar::gateway {
+
+using namespace test;
+
+namespace {
+
+/// A refusal that names the request which it refuses.
+std::string make_refusal(const std::string& id)
+{
+    return "HTTP/1.1 503 Unavailable\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// A server that refuses its first request, runs the others, and writes the refusal once more before the next
+/// response on its connection.
+scripted_server::handler make_refusing_once(std::atomic<unsigned>& runs)
+{
+    const auto refused = std::make_shared<std::atomic<bool>>(false);
+    return [&runs, refused](const http_request& from) {
+        if (!refused->exchange(true)) {
+            scripted_response refusal{make_refusal(id_of(from))};
+            refusal.before_next = refusal.bytes;
+            return refusal;
+        }
+        runs += 1;
+        return scripted_response{make_response(id_of(from), "ran")};
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(repeated_response_tests)
+
+/// Guards against "not run" for a request that ran: the server refused it, got it once more on the same
+/// connection, and wrote a copy of the refusal before the response. Both bear the same id.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_refusal_is_not_taken_for_the_response_to_the_repeated_request)
+{
+    std::atomic<unsigned> runs = 0;
+    running_node run({make_refusing_once(runs)});
+    const std::string first = run.call(request("POST", "/once/1", "a"), ends_with("\r\n\r\n"));
+    BOOST_TEST(first.starts_with("HTTP/1.1 503"));
+    const std::string second = run.call(request("POST", "/once/1", "a"), [](const std::string& received) {
+        return received.ends_with("ran") || received.starts_with("HTTP/1.1 503");
+    });
+    BOOST_TEST(second.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(runs.load() == 1U);
+}
+
+/// Guards against a request that runs at two servers, because the first one's copy of an earlier refusal is
+/// believed and the second one is asked.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_refusal_makes_no_request_run_at_two_servers)
+{
+    std::atomic<unsigned> runs = 0;
+    running_node run({make_refusing_once(runs), make_refusing_once(runs)});
+    const std::string first = run.call(request("POST", "/once/1", "a"), ends_with("\r\n\r\n"));
+    BOOST_TEST(first.starts_with("HTTP/1.1 503"));
+    const std::string second = run.call(request("POST", "/once/1", "a"), [](const std::string& received) {
+        return received.ends_with("ran") || received.starts_with("HTTP/1.1 503");
+    });
+    BOOST_TEST(second.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(runs.load() == 1U);
+}
+
+/// Guards against an error of the first attempt that is written once more and taken for the response to the
+/// second attempt at the same server.
+BOOST_AUTO_TEST_CASE(a_copy_of_an_error_is_not_taken_for_the_response_to_the_retry)
+{
+    std::atomic<unsigned> arrivals = 0;
+    running_node run({[&arrivals](const http_request& from) {
+        if (arrivals++ == 0) {
+            scripted_response error{"HTTP/1.1 500 Error\r\nId: " + id_of(from) +
+                                    "\r\nContent-Length: 0\r\n\r\n"};
+            error.before_next = error.bytes;
+            return error;
+        }
+        return scripted_response{make_response(id_of(from), "ran")};
+    }});
+    const std::string received = run.call(request("GET", "/read/1", "a"), [](const std::string& so_far) {
+        return so_far.ends_with("ran") || so_far.starts_with("HTTP/1.1 500");
+    });
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(arrivals.load() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace currantspar::gateway
--- a/src/currantspar/gateway/test_peer.hpp
+++ b/src/currantspar/gateway/test_peer.hpp
@@ -23,6 +23,8 @@
     bool crash = false;    ///< close the connection and accept no further ones
     std::string endless{}; ///< sent after `bytes`, again and again, until the client closes the connection
     duration endless_for = std::chrono::hours(1); ///< for so long at most
+    std::string
+        before_next{}; ///< sent when the next request on the connection has arrived, before its response
 };
 
 /// A server on a free loopback port whose responses a test scripts byte for byte.
--- a/src/currantspar/gateway/test_peer_test.cpp
+++ b/src/currantspar/gateway/test_peer_test.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstring>
 #include <optional>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -121,6 +122,7 @@
 {
     std::array<char, 65536> buffer{};
     std::string in;
+    std::string before_next;
     std::optional<request_reader> reader(reader_limits{});
     bool holding = false;
     while (!stopping_) {
@@ -137,9 +139,11 @@
             continue;
         }
         requests_ += 1;
+        send_all(connection, std::exchange(before_next, {}));
         const scripted_response next = handler_(reader->take());
         reader.emplace(reader_limits{});
         send_all(connection, next.bytes);
+        before_next = next.before_next;
         holding = next.hold;
         const instant endless_until = io::monotonic_now() + next.endless_for;
         while (!stopping_ && !next.endless.empty() && io::monotonic_now() < endless_until) {
