Carry a request id once on a connection to a server

Cause: a response names its request, and the node took that for the sending. When one connection carried the same id twice, a copy of the first response, for example of a refusal, was read where the second one was due, and nothing in it tells the two apart.

Why this works: what a server sent earlier can only be read on the connection on which it was sent. A request that is sent again takes another connection, so there an answer with its id answers this sending; on the old connection the copy finds an idle connection, which closes, or another id, which is skipped. The pool decides it, for every kind of attempt: first tries, retries, prefill, decode and resumed streams. Requests without an id (orders, reports, freeing of handles) take a new connection; the store's, which answers each once and in order, are kept as before. The ids are kept as hashes, at most 128 a connection, which is then closed.

--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -45,6 +45,13 @@
 /// Identifies one request and its response, for cancel().
 using exchange_id = std::uint64_t;
 
+/// A serialized request.
+struct outgoing_request
+{
+    std::string bytes;
+    std::string id; ///< by which responses name it; empty: it has none
+};
+
 struct server_pool_options
 {
     duration connect_timeout = std::chrono::milliseconds(400);
@@ -52,19 +59,29 @@
     duration idle_margin = std::chrono::milliseconds(1200); ///< subtracted from a server's Keep-Alive timeout
     std::size_t max_idle_connections = 16;                  ///< per server
     reader_limits response_limits{65536, default_body_bytes};
+    /// A connection that has carried as many requests is closed, because all their ids are kept.
+    std::size_t max_requests_per_connection = 128;
+    /// False for a peer that sends exactly one response to each request and names none, like the shared
+    /// store.
+    bool responses_have_ids = true;
 };
 
 /// A pool of persistent connections to servers. A connection carries one request at a time, and is closed
-/// after a cancelled request or a malformed response. Not thread safe.
+/// after a cancelled request or a malformed response.
+///
+/// A server may send a response twice, and the id of its request is all that tells to which request it
+/// belongs. So a connection carries a request id once at most: when a request is sent again, it takes a
+/// connection on which nothing that the server sent before can be read. A request without an id takes a new
+/// connection. Not thread safe.
 class server_pool
 {
 public:
     server_pool(ACE_Reactor& reactor, server_pool_options options);
     ~server_pool();
 
-    /// Sends a request to `IP:port`. `sink` must live until response_complete, request_failed or cancel().
-    /// Within start() only connection_kept and request_written may be called.
-    exchange_id start(const std::string& address, const std::string& request, exchange_sink& sink,
+    /// Sends a request to `address`, `IP:port`. `sink` must live until response_complete, request_failed or
+    /// cancel(). Within start() only connection_kept and request_written may be called.
+    exchange_id start(const std::string& address, const outgoing_request& request, exchange_sink& sink,
                       instant now);
     /// Closes the connection of an exchange; its sink isn't called again.
     void cancel(exchange_id exchange);
@@ -79,6 +96,9 @@
     class connection;
     friend class connection;
 
+    /// Removes an idle connection that may carry the request from the idle ones; null when there is none.
+    [[nodiscard]] connection* take_idle(const std::string& address, const outgoing_request& request,
+                                        instant now);
     void release(connection& idle);
     void drop(connection& closed);
 
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -35,11 +35,18 @@
     return options;
 }
 
+server_pool_options store_pool_options()
+{
+    server_pool_options options;
+    options.responses_have_ids = false;
+    return options;
+}
+
 } // namespace
 
 gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
     : wire_(wire), settings_(std::move(settings)), core_(to_options(settings_)), servers_(reactor, {}),
-      store_(reactor, {}),
+      store_(reactor, store_pool_options()),
       readiness_server_(reactor,
                         [this](const http_request& request) { return handle_readiness_probe(request); }),
       metrics_server_(reactor, [this](const http_request&) { return handle_metrics_request(); }),
@@ -186,7 +193,8 @@
     auto created = std::make_unique<attempt>(*this, effect);
     attempt& added = *created;
     attempts_.emplace(effect.attempt, std::move(created));
-    added.exchange = servers_.start(effect.address, wire_.encode_attempt(from->request, effect), added, now);
+    added.exchange = servers_.start(
+        effect.address, {wire_.encode_attempt(from->request, effect), effect.request_id}, added, now);
 }
 
 void gateway_node::apply(const relay::cancel_attempt& effect, instant)
--- a/src/currantspar/gateway/repeated_response_test.cpp
+++ b/src/currantspar/gateway/repeated_response_test.cpp
@@ -17,6 +17,43 @@
     return "HTTP/1.1 503 Unavailable\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// Waits for the response to one request.
+class waiting_sink : public exchange_sink
+{
+public:
+    bool response_head(int, const http_fields&) override { return true; }
+    void response_body(std::string_view) override {}
+    void response_complete() override { complete = true; }
+    void request_failed(bool, const std::string&) override { failed = true; }
+
+    bool complete = false;
+    bool failed = false;
+};
+
+/// A pool before one server that answers everything.
+struct pool_of_one
+{
+    explicit pool_of_one(server_pool_options options = {}) : pool(reactor, options) {}
+
+    /// Sends a request and waits for its response; returns the number of connections opened so far.
+    std::uint64_t send(const std::string& id)
+    {
+        waiting_sink sink;
+        pool.start(server.address(), {request("GET", "/read/1", id), id}, sink, io::monotonic_now());
+        const instant began = io::monotonic_now();
+        while (!sink.complete && !sink.failed && io::monotonic_now() - began < std::chrono::seconds(3)) {
+            ACE_Time_Value wait(0, 5000);
+            reactor.handle_events(wait);
+        }
+        BOOST_TEST(sink.complete);
+        return pool.connects();
+    }
+
+    ACE_Reactor reactor{new ACE_Dev_Poll_Reactor, true};
+    scripted_server server{echo};
+    server_pool pool;
+};
+
 /// A server that refuses its first request, runs the others, and writes the refusal once more before the next
 /// response on its connection.
 scripted_server::handler make_refusing_once(std::atomic<unsigned>& runs)
@@ -88,6 +125,50 @@
     BOOST_TEST(arrivals.load() == 2U);
 }
 
+/// Guards against a request that is sent again where a response to its first sending can still arrive.
+BOOST_AUTO_TEST_CASE(a_connection_carries_a_request_id_once)
+{
+    pool_of_one servers;
+    BOOST_TEST(servers.send("a") == 1U);
+    BOOST_TEST(servers.send("b") == 1U);
+    BOOST_TEST(servers.send("a") == 2U);
+    // Now "a" may take neither of the two, and others may take both.
+    BOOST_TEST(servers.send("a") == 3U);
+    BOOST_TEST(servers.send("c") == 3U);
+}
+
+/// Guards against an own call, for example an order, that takes another request's response for its own.
+BOOST_AUTO_TEST_CASE(a_request_without_an_id_takes_a_new_connection)
+{
+    pool_of_one servers;
+    BOOST_TEST(servers.send("a") == 1U);
+    BOOST_TEST(servers.send("") == 2U);
+    BOOST_TEST(servers.send("") == 3U);
+}
+
+/// Guards against memory that grows with the requests of a connection that never ends.
+BOOST_AUTO_TEST_CASE(a_connection_is_closed_after_its_most_requests)
+{
+    server_pool_options options;
+    options.max_requests_per_connection = 3;
+    pool_of_one servers(options);
+    for (const char* id : {"a", "b", "c"}) {
+        BOOST_TEST(servers.send(id) == 1U);
+    }
+    BOOST_TEST(servers.send("d") == 2U);
+}
+
+/// The shared store's responses have no ids and come one for each request, so its connections are kept.
+BOOST_AUTO_TEST_CASE(connections_to_a_peer_without_ids_are_kept)
+{
+    server_pool_options options;
+    options.responses_have_ids = false;
+    options.max_requests_per_connection = 1;
+    pool_of_one store(options);
+    BOOST_TEST(store.send("") == 1U);
+    BOOST_TEST(store.send("") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 
+#include "currantspar/base/hash.hpp"
 #include "currantspar/io/clock.hpp"
 
 namespace currantspar::gateway {
@@ -49,18 +50,21 @@
         return connect(to);
     }
 
-    void begin(exchange_id exchange, const std::string& request, exchange_sink& sink)
+    void begin(exchange_id exchange, const outgoing_request& request, exchange_sink& sink)
     {
         exchange_ = exchange;
         sink_ = &sink;
         requests_ += 1;
+        if (pool_.options_.responses_have_ids) {
+            carried_.push_back(fast_hash(request.id));
+        }
         written_ = false;
         reader_.emplace(pool_.options_.response_limits);
         head_delivered_ = false;
         skipping_ = false;
         skipped_responses_ = 0;
         in_.clear();
-        write(request);
+        write(request.bytes);
     }
 
     void abandon()
@@ -78,6 +82,21 @@
     [[nodiscard]] instant usable_until() const { return usable_until_; }
     [[nodiscard]] bool usable(instant now) const { return is_open() && now < usable_until_; }
 
+    /// False when a response on this connection could belong to an earlier request instead.
+    [[nodiscard]] bool may_carry(const outgoing_request& request) const
+    {
+        if (!pool_.options_.responses_have_ids) {
+            return true;
+        }
+        return !request.id.empty() &&
+               std::find(carried_.begin(), carried_.end(), fast_hash(request.id)) == carried_.end();
+    }
+
+    [[nodiscard]] bool is_used_up() const
+    {
+        return carried_.size() >= pool_.options_.max_requests_per_connection;
+    }
+
     void fail(const std::string& detail)
     {
         close();
@@ -239,6 +258,7 @@
     std::string address_;
     exchange_id exchange_ = 0;
     std::size_t requests_ = 0;
+    std::vector<std::uint64_t> carried_; ///< hashes of the ids of its requests
     exchange_sink* sink_ = nullptr;
     std::optional<response_reader> reader_;
     std::string in_;
@@ -259,23 +279,33 @@
 
 server_pool::~server_pool() = default;
 
-exchange_id server_pool::start(const std::string& address, const std::string& request, exchange_sink& sink,
-                               instant now)
+server_pool::connection* server_pool::take_idle(const std::string& address, const outgoing_request& request,
+                                                instant now)
 {
-    now_ = now;
-    const exchange_id exchange = ++last_exchange_;
     std::vector<connection*>& idle = idle_[address];
-    while (!idle.empty()) {
-        connection* kept = idle.back();
-        idle.pop_back();
-        if (kept->usable(now)) {
-            busy_.emplace(exchange, kept);
-            sink.connection_kept(kept->requests());
-            kept->begin(exchange, request, sink);
-            return exchange;
+    for (std::size_t index = idle.size(); index-- > 0;) {
+        connection* kept = idle[index];
+        if (!kept->usable(now)) {
+            kept->close();
+            drop(*kept);
+        } else if (kept->may_carry(request)) {
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
+            return kept;
         }
-        kept->close();
-        drop(*kept);
+    }
+    return nullptr;
+}
+
+exchange_id server_pool::start(const std::string& address, const outgoing_request& request,
+                               exchange_sink& sink, instant now)
+{
+    now_ = now;
+    const exchange_id exchange = ++last_exchange_;
+    if (connection* kept = take_idle(address, request, now)) {
+        busy_.emplace(exchange, kept);
+        sink.connection_kept(kept->requests());
+        kept->begin(exchange, request, sink);
+        return exchange;
     }
     auto created = std::make_unique<connection>(reactor_, *this, address);
     connection& added = *created;
@@ -314,7 +344,7 @@
     now_ = io::monotonic_now();
     idle.usable_until_ = now_ + idle.idle_time_;
     std::vector<connection*>& kept = idle_[idle.address()];
-    if (kept.size() >= options_.max_idle_connections || idle.idle_time_ <= duration{}) {
+    if (kept.size() >= options_.max_idle_connections || idle.idle_time_ <= duration{} || idle.is_used_up()) {
         idle.close();
         drop(idle);
         return;
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -63,7 +63,7 @@
     request_offset_ = next_;
     const std::string request =
         listing_ ? wire_.encode_listing(topic_, after_key_) : wire_.encode_read(topic_, next_, options_.wait);
-    exchange_ = pool_.start(store_, request, *this, now);
+    exchange_ = pool_.start(store_, {request, {}}, *this, now);
 }
 
 std::size_t store_watch::max_body_bytes() const
--- a/src/currantspar/gateway/unary_call.cpp
+++ b/src/currantspar/gateway/unary_call.cpp
@@ -21,7 +21,7 @@
 
     void start(const std::string& address, const std::string& request, instant now)
     {
-        exchange_ = pool_.start(address, request, *this, now);
+        exchange_ = pool_.start(address, {request, {}}, *this, now);
     }
     bool response_head(int status, const http_fields& fields) override
     {
