Read the limits that servers name, and log them

The record of the users can't tell whether nodes ignore a server's limit, each enforce it alone, or pass it by on some path: nothing names it. The adapter decodes it, relay/server_limits keeps each server's latest word, and server_limited, server_limit_ended and the metric limited_servers show it. Nothing acts on it yet.

A response that was asked for before the limit was named can't end it, though it may be read later.

--- a/include/currantspar/relay/model.hpp
+++ b/include/currantspar/relay/model.hpp
@@ -125,11 +125,12 @@
 struct response_info
 {
     int status = 0;
-    std::string request_id; ///< as echoed by the server; empty: none
-    bool not_run = false;   ///< the server states that it did not execute the request
-    bool has_proof = false; ///< has the server's signature
-    bool encoded = false;   ///< the body has a content encoding
-    bool leaving = false;   ///< the server announces that it shuts down
+    std::string request_id;      ///< as echoed by the server; empty: none
+    bool not_run = false;        ///< the server states that it did not execute the request
+    bool has_proof = false;      ///< has the server's signature
+    bool encoded = false;        ///< the body has a content encoding
+    bool leaving = false;        ///< the server announces that it shuts down
+    std::optional<double> limit; ///< requests a second that the server accepts from all nodes together
     duration pause{}; ///< with a refusal: the server wants no requests of this node for so long; 0: none
 };
 
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -20,6 +20,7 @@
 #include "currantspar/relay/routing_table.hpp"
 #include "currantspar/relay/segment_quarantine.hpp"
 #include "currantspar/relay/server_directory.hpp"
+#include "currantspar/relay/server_limits.hpp"
 
 namespace currantspar::relay {
 
@@ -32,6 +33,7 @@
     engine_choice_options engines{};
     admission_options admission{};
     segment_quarantine_options quarantine{};
+    server_limits_options limits{};
     /// An engine that crashes later than this after a request's first event did not crash because of it.
     duration crash_after_first_event = std::chrono::milliseconds(250);
     duration min_time_left = std::chrono::milliseconds(8); ///< a request with less time left is not sent
@@ -96,6 +98,8 @@
     [[nodiscard]] const engine_choice& engines() const { return engines_; }
     [[nodiscard]] segment_quarantine& quarantine() { return quarantine_; }
     [[nodiscard]] const segment_quarantine& quarantine() const { return quarantine_; }
+    [[nodiscard]] server_limits& limits() { return limits_; }
+    [[nodiscard]] const server_limits& limits() const { return limits_; }
     /// Returns the open servers of a service that the circuit breaker does not avoid.
     [[nodiscard]] std::vector<server_entry> responsive_servers(const service_id& service, instant now) const;
     /// Returns whether requests can be served: a configuration and servers are known.
@@ -215,6 +219,7 @@
     /// Probes the engine at which a request was lost, unless a probe is under way.
     void probe_after_loss(const request& req, instant now, relay_effects& out);
     void log_quarantine_changes(relay_effects& out);
+    void log_limit_changes(relay_effects& out);
     void send(request_map::iterator it, const server_entry& server, attempt_stage stage,
               const std::string& handle, const std::string& handle_address, instant now, relay_effects& out);
     /// Sends a request whose KV cache was refused to another decode engine, since the first may have been
@@ -250,6 +255,7 @@
     engine_choice engines_;
     circuit_breaker circuit_;
     segment_quarantine quarantine_;
+    server_limits limits_;
     std::map<backend_id, std::vector<unexplained_loss>> unexplained_; ///< by probed server
     std::map<backend_id, instant> avoided_prefill_; ///< after failed KV cache transfers: avoided until
     std::map<service_id, policy::backend_health> health_;
--- a/src/currantspar/gateway/gateway_metrics.cpp
+++ b/src/currantspar/gateway/gateway_metrics.cpp
@@ -114,6 +114,7 @@
     set("configuration_version", static_cast<double>(counts.configuration));
     set("known_servers", static_cast<double>(core.directory().size()));
     set("quarantined_segments", static_cast<double>(core.quarantine().size()));
+    set("limited_servers", static_cast<double>(core.limits().size()));
     set("buffered_response_bytes", static_cast<double>(counts.buffered_bytes));
     set("dropped_log_lines", static_cast<double>(counts.dropped_log_lines));
     set("ready", counts.ready ? 1 : 0);
--- a/src/currantspar/gateway/test_node.hpp
+++ b/src/currantspar/gateway/test_node.hpp
@@ -51,6 +51,9 @@
         decoded.request_id = field(fields, "Id");
         decoded.has_proof = find_field(fields, "Proof") != nullptr;
         decoded.not_run = find_field(fields, "Not-Run") != nullptr;
+        if (const std::string limit = field(fields, "Limit"); !limit.empty()) {
+            decoded.limit = std::stod(limit);
+        }
         return decoded;
     }
     result<std::string> decode_kv_handle(std::string_view) const override { return std::string("h"); }
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -11,6 +11,7 @@
 
 constexpr int status_unavailable = 503;
 constexpr int status_not_found = 404;
+constexpr int first_non_success_status = 300;
 constexpr int first_server_error = 500;
 /// A prefill and a decode attempt; a retry makes the first event later than admission predicted.
 constexpr unsigned attempts_without_retry = 2;
@@ -29,8 +30,9 @@
 
 relay_core::relay_core(relay_options options)
     : options_(std::move(options)), random_(options_.seed), engines_(engine_options(options_)),
-      quarantine_(options_.quarantine), retries_{options_.retries_per_request,
-                                                 options_.retries_reserve / assumed_nodes}
+      quarantine_(options_.quarantine),
+      limits_(options_.limits), retries_{options_.retries_per_request,
+                                         options_.retries_reserve / assumed_nodes}
 {}
 
 void relay_core::on_nodes(std::size_t nodes)
@@ -63,6 +65,7 @@
     const entry_change effect = directory_.apply(change, now);
     if (restarted || (!change.entry && effect == entry_change::closed)) {
         engines_.forget_engine(change.id);
+        limits_.forget(change.id);
     }
     return effect;
 }
@@ -269,6 +272,12 @@
                          req.info.id,
                          {{"server", req.server.str()}, {"pause_ms", milliseconds_text(head.pause)}}});
     }
+    const server_entry* server = directory_.find(req.server);
+    const bool is_success = head.status < first_non_success_status;
+    if (server != nullptr && (head.limit || is_success)) {
+        limits_.on_response(*server, head.limit, req.sent, now);
+        log_limit_changes(out);
+    }
     return out;
 }
 
@@ -398,6 +407,7 @@
     directory_.on_tick(now);
     engines_.on_tick(now);
     quarantine_.on_tick(now);
+    limits_.on_tick(now);
     log_quarantine_changes(out);
     for (auto it = requests_.begin(); it != requests_.end();) {
         const auto next = std::next(it);
