Keep to the limits that servers name, all nodes together

The nodes didn't read what a server says of itself, so nothing changed when it named a limit. The class: what one server tells one node has to hold for all nodes, on every way to the server.

The first floor(limit) + 3 nodes in an order that is the same everywhere space their requests evenly, the others send none; digests tell the limits and their ends to all. All ways to a server count in relay_core::send and choose among servers whose limit leaves room. Where none does, the request is refused at once with a true Retry-After.

--- a/include/currantspar/gateway/load_digest.hpp
+++ b/include/currantspar/gateway/load_digest.hpp
@@ -12,6 +12,7 @@
 #include "currantspar/relay/directory_changelog.hpp"
 #include "currantspar/relay/engine_choice.hpp"
 #include "currantspar/relay/segment_quarantine.hpp"
+#include "currantspar/relay/server_limits.hpp"
 
 namespace currantspar::gateway {
 
@@ -28,6 +29,7 @@
     std::optional<relay::directory_update> servers;     ///< present when the sender reads the shared store
     std::map<service_id, relay::speed_report> speeds{}; ///< of engines, as measured by the sender
     relay::quarantine_report quarantine{};              ///< crashes of engines, and who must not run
+    std::vector<relay::limit_report> limits{};          ///< that servers named
 };
 
 /// Serializes a digest. Thread safe.
--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
@@ -26,6 +27,9 @@
     duration full_period =
         std::chrono::seconds(1); ///< between full digests, which repair the loss of delta digests
     duration peer_timeout = std::chrono::seconds(8); ///< a peer without a digest for this long is removed
+    /// A node without a digest for this long takes no part in what the nodes share: three full ones were
+    /// lost.
+    duration recent = std::chrono::milliseconds(3500);
     double min_change_ms = 8; ///< smaller changes of the pending prefill time aren't sent at once
 };
 
@@ -48,12 +52,15 @@
     /// Sends a full digest when one is due, otherwise what has changed since the last digest, if anything.
     /// Precondition: due().
     void send_digest(relay::engine_choice& work, relay::segment_quarantine& quarantine,
-                     std::uint64_t configuration, std::optional<relay::directory_update> servers,
-                     instant now);
+                     relay::server_limits& limits, std::uint64_t configuration,
+                     std::optional<relay::directory_update> servers, instant now);
     /// The minimum time between two delta digests to the known peers.
     [[nodiscard]] duration digest_period() const;
     /// The number of live nodes, including this one.
     [[nodiscard]] std::size_t live_nodes() const { return peers_.size() + 1; }
+    /// The addresses of the other nodes that were heard of lately; sooner without a node that has ended than
+    /// live_nodes().
+    [[nodiscard]] std::vector<std::string> recent_peers(instant now) const;
     /// The number of live nodes before this one in the order of peer addresses, which is the same on all
     /// nodes.
     [[nodiscard]] std::size_t rank() const;
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -74,6 +74,8 @@
 /// them at once.
 inline constexpr const char* stopping_reason = "stopping";
 inline constexpr duration stopping_retry = std::chrono::milliseconds(1);
+/// The reason of refusals while the limits of all servers leave this node no request.
+inline constexpr const char* limited_reason = "server_limits";
 
 /// State machine of all requests: routes them, chooses servers, and decides which of them may be retried. It
 /// does no I/O: each call returns the effects that its caller must carry out. Not thread safe.
@@ -105,6 +107,9 @@
     /// Returns whether requests can be served: a configuration and servers are known.
     [[nodiscard]] bool ready() const;
 
+    /// A peer reported the limits that servers named to it.
+    [[nodiscard]] relay_effects on_peer_limits(const std::string& peer,
+                                               const std::vector<limit_report>& reports, instant now);
     /// Sets the number of nodes that share the retry budget, including this one. Precondition: nodes > 0.
     void on_nodes(std::size_t nodes);
 
@@ -203,10 +208,17 @@
     using request_map = std::map<request_number, request>;
 
     [[nodiscard]] policy::retry_budget& budget(const service_id& service);
-    /// Returns the servers that a request must not go to: those that the circuit breaker avoids and those
-    /// that it was sent to before.
+    /// Returns the servers that a request must not go to: those that it was sent to before, and those whose
+    /// limit leaves this node no request now.
     [[nodiscard]] std::set<backend_id>
     excluded_servers(const request& req, const std::vector<server_entry>& servers, instant now) const;
+    /// Returns the same and those that the circuit breaker avoids.
+    [[nodiscard]] std::set<backend_id>
+    avoided_servers(const request& req, const std::vector<server_entry>& servers, instant now) const;
+    /// Returns why none of a service's open servers can be sent a request.
+    [[nodiscard]] const char* unavailable_reason(const std::vector<server_entry>& servers, instant now) const;
+    /// Returns when a limit first leaves this node a request for a server of the service.
+    [[nodiscard]] duration limits_wait(const service_id& service, instant now) const;
     [[nodiscard]] request_map::iterator find_attempt(attempt_id attempt);
     void dispatch(request_map::iterator it, instant now, relay_effects& out);
     void dispatch_call(request_map::iterator it, instant now, relay_effects& out);
@@ -226,6 +238,9 @@
     /// full; false: there is none.
     bool retry_decode_elsewhere(request_map::iterator it, instant now, relay_effects& out);
     void start_decode(request_map::iterator it, const std::string& handle, instant now, relay_effects& out);
+    /// Returns the engine that decodes a prefilled request: the one that was chosen with the prefill engine,
+    /// or another one if that has used up its limit since; null when there is none.
+    [[nodiscard]] const server_entry* choose_decode_engine(const request& req, instant now) const;
     /// Charges the retry budget when a request arrives at a server for this stage more than once.
     void spend_retry(request& req, attempt_stage stage);
     [[nodiscard]] bool may_send_again(const request& req, bool after_run, instant now);
--- a/include/currantspar/relay/server_limits.hpp
+++ b/include/currantspar/relay/server_limits.hpp
@@ -36,6 +36,8 @@
     double spare_nodes = 3;
     /// Sent to a server whose limit is lower, or nobody would hear when the limit ends. In requests a second.
     double min_rate = 0.25;
+    /// A node that had nothing to send for a moment may send so much of its share later.
+    duration max_saved = std::chrono::milliseconds(500);
     duration ended_retention =
         std::chrono::seconds(10);  ///< how long older reports of an ended limit may arrive
     std::size_t max_reported = 64; ///< in one report
@@ -46,8 +48,8 @@
 /// A limit holds for all nodes together. The nodes that share it are the first few of all live nodes in an
 /// order that rendezvous hashing makes the same everywhere without communication; each of them spaces its
 /// requests evenly, and the others send none. So however many nodes there are, a span of t seconds brings a
-/// server at most t times its limit and one request for each sharing node. Nodes report limits to each other;
-/// the latest word of a server holds. Not thread safe.
+/// server at most its limit for t + max_saved, and one request for each sharing node. Nodes report limits to
+/// each other; the latest word of a server holds. Not thread safe.
 class server_limits
 {
 public:
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -22,6 +22,8 @@
 constexpr duration announce_retry = std::chrono::seconds(2);
 constexpr duration min_logged_tick_delay = std::chrono::milliseconds(250);
 constexpr duration speed_log_period = std::chrono::seconds(1);
+/// Between two looks at which nodes share the limits of servers.
+constexpr duration share_update_period = std::chrono::milliseconds(250);
 /// Relative to the value that was logged last.
 constexpr double min_logged_speed_change = 0.25;
 
@@ -293,13 +295,14 @@
     core_.engines().on_peer_segments(digest.segments, now);
     core_.engines().on_peer_speeds(digest.sender, digest.speeds, now);
     core_.quarantine().on_peer_report(digest.sender, digest.quarantine, now);
+    run(core_.on_peer_limits(digest.sender, digest.limits, now), now);
     store_reader_.on_digest(digest, now);
 }
 
 void gateway_node::update_peers(instant now)
 {
     if (peers_.due(now)) {
-        peers_.send_digest(core_.engines(), core_.quarantine(), core_.routes().version(),
+        peers_.send_digest(core_.engines(), core_.quarantine(), core_.limits(), core_.routes().version(),
                            store_reader_.make_update(now), now);
     }
 }
@@ -355,6 +358,10 @@
         roles_.on_tick(peers_.rank(), now);
     }
     core_.on_nodes(peers_.live_nodes());
+    if (now >= shares_due_) {
+        shares_due_ = now + share_update_period;
+        core_.limits().set_nodes(settings_.peer_address, peers_.recent_peers(now), now);
+    }
     core_.quarantine().set_rank(peers_.rank());
     core_.engines().set_view_lag(peers_.digest_period());
     run(core_.on_tick(now), now);
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -128,6 +128,7 @@
     instant announce_due_{};
     std::map<service_id, double> logged_speeds_;
     instant speed_log_due_{};
+    instant shares_due_{};
 
     std::unordered_map<relay::request_number, caller> callers_;
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
--- a/src/currantspar/gateway/load_digest.cpp
+++ b/src/currantspar/gateway/load_digest.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_segments = 200;
 constexpr std::size_t traversal_words = 16384;
 constexpr unsigned role_count = 3;
+/// Stands for the limit of a server that has none any more.
+constexpr double no_limit = -1;
 
 std::uint32_t to_milliseconds(duration value)
 {
@@ -160,6 +162,31 @@
     }
 }
 
+void write_limits(const std::vector<relay::limit_report>& limits, wire::LoadDigest::Builder root)
+{
+    auto out = root.initLimits(static_cast<unsigned>(limits.size()));
+    for (unsigned index = 0; index < out.size(); ++index) {
+        const relay::limit_report& from = limits[index];
+        out[index].setServer(from.server.str());
+        out[index].setStarted(from.server_started_ms);
+        out[index].setPerSecond(from.per_second.value_or(no_limit));
+        out[index].setAgeMs(to_milliseconds(from.age));
+    }
+}
+
+std::vector<relay::limit_report> read_limits(wire::LoadDigest::Reader root)
+{
+    std::vector<relay::limit_report> limits;
+    for (const auto in : root.getLimits()) {
+        const double per_second = in.getPerSecond();
+        const bool is_limited = std::isfinite(per_second) && per_second >= 0;
+        limits.push_back({backend_id(in.getServer().cStr()), in.getStarted(),
+                          is_limited ? std::optional(per_second) : std::nullopt,
+                          std::chrono::milliseconds(in.getAgeMs())});
+    }
+    return limits;
+}
+
 relay::quarantine_report read_quarantine(wire::LoadDigest::Reader root)
 {
     using std::chrono::milliseconds;
@@ -198,6 +225,7 @@
     write_segments(digest.segments, root);
     write_speeds(digest.speeds, root);
     write_quarantine(digest.quarantine, root);
+    write_limits(digest.limits, root);
     if (digest.servers) {
         write_directory_update(*digest.servers, root.initServers());
     }
@@ -233,6 +261,7 @@
             digest.speeds[service_id(entry.getService().cStr())] = {entry.getLogFactor(), entry.getWeight()};
         }
         digest.quarantine = read_quarantine(root);
+        digest.limits = read_limits(root);
         if (root.hasServers()) {
             digest.servers = read_directory_update(root.getServers());
         }
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -225,6 +225,8 @@
     digest.quarantine.completed = {{99, std::chrono::milliseconds(30)}};
     digest.quarantine.quarantined = {{100, 2, std::chrono::seconds(70), std::chrono::seconds(480)}};
     digest.speeds = {{service_id("llm"), {1.5, 20}}};
+    digest.limits = {{engine.id, engine.started_ms, 5.1, std::chrono::milliseconds(20)},
+                     {backend_id("e2"), 3, std::nullopt, std::chrono::milliseconds(30)}};
     const auto read = decode_digest(encode_digest(digest));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read->data_centre.str() == "a");
@@ -240,6 +242,12 @@
     BOOST_TEST(read->engines.at(17).tokens == 51000);
     BOOST_TEST(read->segments.at(0).segment == 99U);
     BOOST_TEST(read->configuration == 8U);
+    BOOST_REQUIRE(read->limits.size() == 2U);
+    BOOST_TEST((read->limits[0].server == engine.id));
+    BOOST_TEST(read->limits[0].server_started_ms == engine.started_ms);
+    BOOST_TEST(read->limits[0].per_second.value_or(0) == 5.1);
+    BOOST_TEST((read->limits[0].age == std::chrono::milliseconds(20)));
+    BOOST_TEST(!read->limits[1].per_second.has_value());
     BOOST_TEST(read->speeds.at(service_id("llm")).log_factor == 1.5);
     BOOST_TEST(read->speeds.at(service_id("llm")).weight == 20.0);
     BOOST_REQUIRE(read->quarantine.lost.size() == 1U);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -63,8 +63,8 @@
 }
 
 void peer_link::send_digest(relay::engine_choice& work, relay::segment_quarantine& quarantine,
-                            std::uint64_t configuration, std::optional<relay::directory_update> servers,
-                            instant now)
+                            relay::server_limits& limits, std::uint64_t configuration,
+                            std::optional<relay::directory_update> servers, instant now)
 {
     const relay::engine_loads& own = work.own_work();
     load_digest digest{self_,
@@ -76,7 +76,8 @@
                        data_centre_,
                        std::move(servers),
                        {},
-                       quarantine.make_report(now >= full_due_, now)};
+                       quarantine.make_report(now >= full_due_, now),
+                       limits.make_report(now >= full_due_, now)};
     if (digest.full) {
         full_due_ = now + options_.full_period;
         remove_inactive_peers(now);
@@ -95,7 +96,7 @@
             }
         }
         if (digest.engines.empty() && digest.segments.empty() && !digest.servers &&
-            digest.quarantine.empty() && configuration == sent_configuration_) {
+            digest.quarantine.empty() && digest.limits.empty() && configuration == sent_configuration_) {
             return;
         }
     }
@@ -124,6 +125,17 @@
         peers_, [&](const auto& entry) { return now - entry.second.last_received > options_.peer_timeout; });
 }
 
+std::vector<std::string> peer_link::recent_peers(instant now) const
+{
+    std::vector<std::string> recent;
+    for (const auto& [address, known] : peers_) {
+        if (now - known.last_received <= options_.recent) {
+            recent.push_back(address);
+        }
+    }
+    return recent;
+}
+
 duration peer_link::digest_period() const
 {
     return std::max(options_.delta_period,
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -94,9 +94,21 @@
 
 std::set<backend_id> relay_core::excluded_servers(const request& req,
                                                   const std::vector<server_entry>& servers, instant now) const
+{
+    std::set<backend_id> result = req.excluded;
+    for (const server_entry& server : servers) {
+        if (!limits_.admits(server.id, now)) {
+            result.insert(server.id);
+        }
+    }
+    return result;
+}
+
+std::set<backend_id> relay_core::avoided_servers(const request& req, const std::vector<server_entry>& servers,
+                                                 instant now) const
 {
     std::set<backend_id> result = circuit_.avoided(servers, now);
-    result.insert(req.excluded.begin(), req.excluded.end());
+    result.merge(excluded_servers(req, servers, now));
     return result;
 }
 
@@ -186,10 +198,11 @@
     request& req = it->second;
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
     const std::set<backend_id> avoided = circuit_.avoided(servers, now);
+    const std::set<backend_id> excluded = excluded_servers(req, servers, now);
     std::vector<backend_id> candidates;
     std::vector<backend_id> fallbacks;
     for (const server_entry& server : servers) {
-        if (req.excluded.contains(server.id)) {
+        if (excluded.contains(server.id)) {
             continue;
         }
         (avoided.contains(server.id) ? fallbacks : candidates).push_back(server.id);
@@ -197,7 +210,7 @@
     const auto chosen =
         health_[req.service].choose(candidates.empty() ? fallbacks : candidates, now, random_);
     if (!chosen) {
-        fail(it, servers.empty() ? "no_server" : "all_servers_tried", now, out);
+        fail(it, unavailable_reason(servers, now), now, out);
         return;
     }
     send(it, *directory_.find(*chosen), attempt_stage::full_request, {}, {}, now, out);
@@ -217,6 +230,7 @@
     req.attempts_made += 1;
     spend_retry(req, stage);
     attempts_.emplace(attempt, it->first);
+    limits_.on_sent(server.id, now);
     health_[req.service].on_started(server.id);
     const std::string resume = stage == attempt_stage::prefill_only ? std::string() : req.last_event;
     const bool stream = req.route->kind == route_kind::stream && stage != attempt_stage::prefill_only;
--- a/src/currantspar/relay/relay_core_engines.cpp
+++ b/src/currantspar/relay/relay_core_engines.cpp
@@ -22,18 +22,19 @@
     }
     request& req = it->second;
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
-    std::set<backend_id> excluded = excluded_servers(req, servers, now);
+    std::set<backend_id> avoided = avoided_servers(req, servers, now);
     for (const auto& [engine, until] : avoided_prefill_) {
         if (now < until) {
-            excluded.insert(engine);
+            avoided.insert(engine);
         }
     }
-    auto chosen = engines_.choose(req.info, traits, servers, excluded, now, req.route->target);
+    auto chosen = engines_.choose(req.info, traits, servers, avoided, now, req.route->target);
     if (!chosen) {
-        chosen = engines_.choose(req.info, traits, servers, req.excluded, now, req.route->target);
+        const std::set<backend_id> excluded = excluded_servers(req, servers, now);
+        chosen = engines_.choose(req.info, traits, servers, excluded, now, req.route->target);
     }
     if (!chosen) {
-        fail(it, servers.empty() ? "no_server" : "all_servers_tried", now, out);
+        fail(it, unavailable_reason(servers, now), now, out);
         return;
     }
     if (!req.last_event.empty() && !chosen->prefill_engine.empty()) {
@@ -103,8 +104,8 @@
     request& req = it->second;
     req.handle = handle;
     const server_entry* prefill_engine = directory_.find(req.placed.prefill_engine);
-    const server_entry* decode_engine = directory_.find(req.placed.decode_engine);
-    if (prefill_engine == nullptr || decode_engine == nullptr || !directory_.is_open(decode_engine->id)) {
+    const server_entry* decode_engine = choose_decode_engine(req, now);
+    if (prefill_engine == nullptr || decode_engine == nullptr) {
         if (prefill_engine != nullptr) {
             out.push_back(free_kv_cache{prefill_engine->address, handle});
         }
@@ -118,6 +119,16 @@
     send(it, *decode_engine, attempt_stage::decode_only, handle, prefill_engine->address, now, out);
 }
 
+const server_entry* relay_core::choose_decode_engine(const request& req, instant now) const
+{
+    const server_entry* placed = directory_.find(req.placed.decode_engine);
+    if (placed == nullptr || !directory_.is_open(placed->id) || limits_.admits(placed->id, now)) {
+        return placed != nullptr && directory_.is_open(placed->id) ? placed : nullptr;
+    }
+    const std::vector<server_entry>& servers = directory_.open_servers(req.service);
+    return engines_.least_busy_decode_engine(servers, avoided_servers(req, servers, now));
+}
+
 bool relay_core::retry_decode_elsewhere(request_map::iterator it, instant now, relay_effects& out)
 {
     request& req = it->second;
@@ -126,8 +137,8 @@
         return false;
     }
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
-    const std::set<backend_id> excluded = excluded_servers(req, servers, now);
-    const server_entry* decode_engine = engines_.least_busy_decode_engine(servers, excluded);
+    const server_entry* decode_engine =
+        engines_.least_busy_decode_engine(servers, avoided_servers(req, servers, now));
     const server_entry* prefill_engine = directory_.find(req.placed.prefill_engine);
     if (decode_engine == nullptr || prefill_engine == nullptr) {
         return false;
--- a/src/currantspar/relay/relay_core_outcomes.cpp
+++ b/src/currantspar/relay/relay_core_outcomes.cpp
@@ -142,6 +142,9 @@
     if (reason == stopping_reason) {
         return stopping_retry;
     }
+    if (reason == limited_reason) {
+        return limits_wait(service, now);
+    }
     return reason == "no_server" ? no_server_wait(service, now) : options_.full_retry;
 }
 
--- a/src/currantspar/relay/server_limits.cpp
+++ b/src/currantspar/relay/server_limits.cpp
@@ -122,7 +122,8 @@
 {
     const auto known = limits_.find(server);
     if (known != limits_.end() && known->second.shared) {
-        known->second.next = std::max(known->second.next, now) + known->second.interval;
+        limit& state = known->second;
+        state.next = std::max(state.next, now - options_.max_saved) + state.interval;
     }
 }
 
--- a/src/currantspar/relay/test_relay.hpp
+++ b/src/currantspar/relay/test_relay.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/test/unit_test.hpp>
+
 #include "currantspar/relay/relay_core.hpp"
 
 namespace currantspar::relay::test {
@@ -101,6 +103,45 @@
     return nullptr;
 }
 
+/// A relay core with two plain servers, two prefill engines and two decode engines.
+struct served_node
+{
+    explicit served_node(double reserve = 1000) : core(options(reserve))
+    {
+        core.on_config(make_config());
+        for (const char* id : {"desk-1", "desk-2"}) {
+            core.directory().put(make_server(id, "desk"), at(0));
+        }
+        for (const char* id : {"reader-1", "reader-2"}) {
+            core.directory().put(make_server(id, "llm", config::engine_role::prefill), at(0));
+        }
+        for (const char* id : {"decoder-1", "decoder-2"}) {
+            core.directory().put(make_server(id, "llm", config::engine_role::decode), at(0));
+        }
+    }
+
+    static relay_options options(double reserve)
+    {
+        relay_options result;
+        result.data_centre = data_centre_id("a");
+        result.retries_reserve = reserve;
+        return result;
+    }
+
+    /// Sends a request and reports its first byte as written.
+    attempt_id sent(const request_info& info)
+    {
+        const relay_effects effects = core.on_request(request_number(++last), info, at(1));
+        const auto* start = first<start_attempt>(effects);
+        BOOST_REQUIRE(start != nullptr);
+        core.on_written(start->attempt);
+        return start->attempt;
+    }
+
+    relay_core core;
+    std::uint64_t last = 0;
+};
+
 } // namespace currantspar::relay::test
 
 #endif
