Retry a request after an error response at another server

What callers saw: requests that may be repeated ended with a server's 500 though three other servers were there.

Cause: a server that answered with an error isn't excluded, as one that refused or lost the request is, and the choice between two random servers takes it again. Change: it is a fallback, used when no other server is left.

--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -205,7 +205,9 @@
         if (excluded.contains(server.id)) {
             continue;
         }
-        (avoided.contains(server.id) ? fallbacks : candidates).push_back(server.id);
+        // A retry after an error response may go to the same server, but only if no other one is left.
+        const bool is_fallback = avoided.contains(server.id) || server.id == req.server;
+        (is_fallback ? fallbacks : candidates).push_back(server.id);
     }
     const auto chosen =
         health_[req.service].choose(candidates.empty() ? fallbacks : candidates, now, random_);
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -107,6 +107,28 @@
     BOOST_TEST(first<deliver_response>(effects) != nullptr);
 }
 
+/// Guards against a retry at the server that has just failed while another one is there.
+BOOST_AUTO_TEST_CASE(a_retry_after_an_error_goes_to_another_server_if_there_is_one)
+{
+    served_node node;
+    for (unsigned round = 0; round < 20; ++round) {
+        const relay_effects before =
+            node.core.on_request(request_number(round + 1), make_call("r", "/read/1"), at(1));
+        const auto* start = first<start_attempt>(before);
+        BOOST_REQUIRE(start != nullptr);
+        const relay_effects after = node.core.on_response(start->attempt, signed_response(500), at(1.1));
+        const auto* again = first<start_attempt>(after);
+        BOOST_REQUIRE(again != nullptr);
+        BOOST_TEST((again->server != start->server));
+        static_cast<void>(node.core.on_response(again->attempt, signed_response(200), at(1.2)));
+    }
+    served_node alone;
+    alone.core.directory().remove(backend_id("desk-2"), at(0.5));
+    const attempt_id attempt = alone.sent(make_call("r", "/read/1"));
+    const relay_effects after = alone.core.on_response(attempt, signed_response(500), at(1.1));
+    BOOST_TEST(first<start_attempt>(after) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_answered_failure_of_a_call_that_may_run_once_is_delivered_as_it_is)
 {
     served_node node;
