Answer callers of serve that shut down their sending side

What callers saw: a caller that had sent its whole request and shut down its sending side was now and then closed without a single byte of the response, as soon as the response was due; the node took it for one that had left.

Cause: the connection was suspended in the same call of the access handler that published the request. libmicrohttpd (0.9.75) then still counts it as a connection to read from, and marks resumed connections as readable. Its loop first looks at the connection that has been idle longest, and that one is answered. All other resumed connections are read first: the read returns 0, the end of the caller's data, and the library closes the connection (MHD_REQUEST_TERMINATED_WITH_ERROR). So it needed another connection at the same node that was idle for longer. In half_closed_caller_gets_its_whole_stream that is the neighbour's stream when it is resumed in the same round.

Change: the call that publishes the request returns without suspending. The library then calls again at once, as its header says, and no longer counts the connection as one to read from; that call waits for the response or queues it.

--- a/src/currantspar/io/caller_front.cpp
+++ b/src/currantspar/io/caller_front.cpp
@@ -338,7 +338,10 @@
         open_.emplace(request->id, request);
     }
     sink_(std::move(event));
-    return request->wait_for_head() ? MHD_YES : request->queue_answer();
+    // libmicrohttpd calls on_access again at once, and that call waits for the answer. A connection suspended
+    // by this call would count as one to read from when it is resumed, and a caller that has shut down its
+    // sending side would be closed without an answer.
+    return MHD_YES;
 }
 
 void http_caller_front::on_completed(void* self, MHD_Connection* connection, void** state,
--- a/src/currantspar/node/bad_input_test.cpp
+++ b/src/currantspar/node/bad_input_test.cpp
@@ -144,7 +144,31 @@
     caller.write(installation.request("POST", "/v1/completions",
                                       R"({"model":"chat","prompt":"half","max_tokens":60,"stream":true})"));
     caller.half_close();
-    BOOST_TEST(caller.read_all().find("data: [DONE]") != std::string::npos);
+    const std::string answer = caller.read_all();
+    BOOST_TEST(answer.find("data: [DONE]") != std::string::npos, "answer: " + answer);
+}
+
+BOOST_AUTO_TEST_CASE(half_closed_caller_is_answered_beside_an_idle_connection)
+{
+    // The server library looks at the connection that has been idle longest before those that are resumed;
+    // one that sends nothing keeps the caller below from being that one.
+    const raw_caller idle(installation.node().caller_port());
+    for (const bool stream : {false, true}) {
+        raw_caller caller(installation.node().caller_port());
+        caller.write(installation.request("POST", "/v1/completions",
+                                          std::string(R"({"model":"chat","prompt":"half","max_tokens":5)") +
+                                              (stream ? R"(,"stream":true})" : "}")));
+        caller.half_close();
+        const std::string answer = caller.read_all();
+        BOOST_TEST(status_of(answer) == 200, "answer: " + answer);
+        BOOST_TEST(answer.find(stream ? "data: [DONE]" : "\"usage\"") != std::string::npos,
+                   "answer: " + answer);
+    }
+    raw_caller caller(installation.node().caller_port());
+    caller.write(installation.request("GET", "/orders/1"));
+    caller.half_close();
+    const std::string answer = caller.read_all();
+    BOOST_TEST(status_of(answer) == 200, "answer: " + answer);
 }
 
 BOOST_AUTO_TEST_CASE(callers_that_leave_at_any_point)
