Send each generation to an engine on a connection of its own

What callers of `serve` could see: 503 "not run" for a generation that an engine runs, and a generation that goes on from another request's KV cache.

Cause: the same as there, in the other program path. Generations and prefills took kept connections of libcurl. An engine's refusal (503, 404) names no request, and the handle of an `exported` event isn't checked against one, so a copy of an earlier response, written where the next one is due, counted as the next request's. `refused` leaves may_have_run false, so with no other engine the caller is told "not run".

Change: POST /v1/completions takes a new connection and leaves none, as orders and calls that aren't GET or HEAD do already. Resumed streams did before.

Evidence: on the code before, both new tests failed: the second generation ended as refused instead of complete, and the second prefill took handle h1 instead of h2. Now test_io, test_core and test_node pass (one run each). The cost of a connection for each generation wasn't measured.

--- a/src/currantspar/io/engine_streams.cpp
+++ b/src/currantspar/io/engine_streams.cpp
@@ -186,9 +186,12 @@
 CURRANTSPAR_JSON(completion_request, request, prompt, max_tokens, priority, from_position, prefix,
                  prefill_only, kv_handle, kv_address)
 
+/// On a new connection: refusals and prefill responses name no request, so on a kept one a copy of an earlier
+/// response could be taken for this one.
 http_request post_completion(const std::string& address, const completion_request& body)
 {
     http_request http;
+    http.new_connection = true;
     http.method = "POST";
     http.url = "http://" + address + "/v1/completions";
     http.headers = {{"Content-Type", "application/json"}, {"Accept", "text/event-stream"}};
@@ -203,6 +206,7 @@
     http_request http;
     http.url = "http://" + request.address + "/v1/requests/" + request.engine_request.str() +
                "/stream?from=" + std::to_string(request.from_position);
+    http.new_connection = request.new_connection;
     return http;
 }
 
@@ -236,7 +240,6 @@
             http = post_completion(request.address, body);
         }
         http.idle_limit = request.idle_limit;
-        http.new_connection = request.new_connection;
         run(std::move(http), request.attempt, request.address, request.engine_request, false);
     }
 
