Close a connection to a server after a request without an id

What callers could see: 502 for a request that a server ran, when a copy of the response to an own call without an id (a role order, a report, the freeing of a handle) comes late on the connection that the request took next.

Cause: requests without an id take a new connection, but left it to the idle ones. There a copy without an id is ambiguous, and the request counts as lost.

Change: such a connection carries nothing else. The store's connections are kept as before.

Evidence: on the code before, the new test failed with 502 ("response without an id on a kept connection"). Now test_gateway passes (one run).

--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -72,7 +72,7 @@
 /// A server may send a response twice, and the id of its request is all that tells to which request it
 /// belongs. So a connection carries a request id once at most: when a request is sent again, it takes a
 /// connection on which nothing that the server sent before can be read. A request without an id takes a new
-/// connection. Not thread safe.
+/// connection, which is closed after it. Not thread safe.
 class server_pool
 {
 public:
--- a/src/currantspar/gateway/repeated_response_test.cpp
+++ b/src/currantspar/gateway/repeated_response_test.cpp
@@ -125,6 +125,25 @@
     BOOST_TEST(arrivals.load() == 2U);
 }
 
+/// Guards against a request that fails, though it ran, because a copy of the response to an own call without
+/// an id, for example an order, is read on its connection.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_response_without_an_id_reaches_no_later_request)
+{
+    running_node run({[](const http_request& from) {
+        scripted_response response{make_response(id_of(from), "ran")};
+        if (id_of(from).empty()) {
+            response.before_next = response.bytes;
+        }
+        return response;
+    }});
+    const std::string first = run.call(request("GET", "/read/1", ""), ends_with("ran"));
+    BOOST_TEST(first.starts_with("HTTP/1.1 200"));
+    const std::string second = run.call(request("POST", "/once/1", "a"), [](const std::string& received) {
+        return received.ends_with("ran") || received.starts_with("HTTP/1.1 502");
+    });
+    BOOST_TEST(second.starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against a request that is sent again where a response to its first sending can still arrive.
 BOOST_AUTO_TEST_CASE(a_connection_carries_a_request_id_once)
 {
@@ -144,6 +163,8 @@
     BOOST_TEST(servers.send("a") == 1U);
     BOOST_TEST(servers.send("") == 2U);
     BOOST_TEST(servers.send("") == 3U);
+    BOOST_TEST(servers.send("b") == 3U);
+    BOOST_TEST(servers.send("a") == 4U);
 }
 
 /// Guards against memory that grows with the requests of a connection that never ends.
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -57,6 +57,7 @@
         requests_ += 1;
         if (pool_.options_.responses_have_ids) {
             carried_.push_back(fast_hash(request.id));
+            names_all_ = names_all_ && !request.id.empty();
         }
         written_ = false;
         reader_.emplace(pool_.options_.response_limits);
@@ -92,9 +93,10 @@
                std::find(carried_.begin(), carried_.end(), fast_hash(request.id)) == carried_.end();
     }
 
+    /// True when it carries no further request: it has carried the most, or one whose response names none.
     [[nodiscard]] bool is_used_up() const
     {
-        return carried_.size() >= pool_.options_.max_requests_per_connection;
+        return !names_all_ || carried_.size() >= pool_.options_.max_requests_per_connection;
     }
 
     void fail(const std::string& detail)
@@ -259,6 +261,7 @@
     exchange_id exchange_ = 0;
     std::size_t requests_ = 0;
     std::vector<std::uint64_t> carried_; ///< hashes of the ids of its requests
+    bool names_all_ = true;              ///< each of its requests had an id, where responses have one
     exchange_sink* sink_ = nullptr;
     std::optional<response_reader> reader_;
     std::string in_;
