Show that a copied refusal needs no caller that sends its request again

But servers are told apart by their ids and connections by their addresses: a server that restarted at its address has two entries until the old one lapses, and the node sends what the first refused on to the second, on the same connection.

--- a/src/currantspar/gateway/repeated_response_test.cpp
+++ b/src/currantspar/gateway/repeated_response_test.cpp
@@ -125,6 +125,24 @@
     BOOST_TEST(arrivals.load() == 2U);
 }
 
+/// Guards against the same without a caller that sends its request again: a server that restarted at its
+/// address has two entries for a while, and the node sends the request on to the second one, to the same
+/// address.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_refusal_for_the_entry_before_a_restart_is_not_taken_for_the_response)
+{
+    std::atomic<unsigned> runs = 0;
+    running_node run({make_refusing_once(runs)}, running_node::store_response, [](fake_protocol& wire) {
+        relay::server_entry restarted = wire.servers.front();
+        restarted.id = backend_id("server-1-restarted");
+        wire.servers.push_back(restarted);
+    });
+    const std::string received = run.call(request("POST", "/once/1", "a"), [](const std::string& so_far) {
+        return so_far.ends_with("ran") || so_far.starts_with("HTTP/1.1 503");
+    });
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(runs.load() == 1U);
+}
+
 /// Guards against a request that fails, though it ran, because a copy of the response to an own call without
 /// an id, for example an order, is read on its connection.
 BOOST_AUTO_TEST_CASE(a_copy_of_a_response_without_an_id_reaches_no_later_request)
