Count a restarted node's digests at once

What other nodes could see: after a restart of a node its digests were dropped until its sequence number had passed the last one before the restart, or, from 64 below it on, until it had caught up. A node that had sent 40 digests and has little to say sends one a second, so for up to a minute its load, its measured speeds, the crashes that it saw and the changes that it read from the shared store reached nobody.

Cause: sequence numbers begin anew with each process, and receive() told a restart from a reordered datagram by the distance of the numbers alone.

Change: digests carry the incarnation of the sender's process, the wall clock in milliseconds at its start. A greater one counts at once, a lower one is a late datagram and doesn't count; within one incarnation the sequence decides without a window. A node whose wall clock was set back before it restarted counts once nothing of the greater incarnation counted for 3 s (a live process sends a full digest each second). Digests without an incarnation, of earlier releases, are ordered as before.

--- a/include/currantspar/gateway/load_digest.hpp
+++ b/include/currantspar/gateway/load_digest.hpp
@@ -28,6 +28,8 @@
     std::optional<relay::directory_update> servers;     ///< present when the sender reads the shared store
     std::map<service_id, relay::speed_report> speeds{}; ///< of engines, as measured by the sender
     relay::quarantine_report quarantine{};              ///< crashes of engines, and who must not run
+    /// Of the sender's process: a later start has a greater one, and its sequence begins anew; 0: unknown.
+    std::uint64_t incarnation = 0;
 };
 
 /// Serializes a digest. Thread safe.
--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -27,6 +27,9 @@
         std::chrono::seconds(1); ///< between full digests, which repair the loss of delta digests
     duration peer_timeout = std::chrono::seconds(8); ///< a peer without a digest for this long is removed
     double min_change_ms = 8; ///< smaller changes of the pending prefill time aren't sent at once
+    /// A peer whose wall clock was set back before it restarted is heard once its former process was silent
+    /// for this long: a live one sends a full digest each full_period, and two of them may be lost.
+    duration incarnation_timeout = std::chrono::seconds(3);
 };
 
 /// Announces this node's load at each engine to the other nodes, by datagrams that may be lost. Not thread
@@ -67,10 +70,14 @@
     {
         ACE_INET_Addr address;
         instant last_received{};
-        std::uint64_t sequence = 0;
+        std::uint64_t incarnation = 0; ///< 0: unknown
+        std::uint64_t sequence = 0;    ///< of the last digest that counted
+        instant last_counted{};
     };
 
     void receive(std::string_view bytes);
+    /// Returns whether a digest is older than what is known of its sender.
+    [[nodiscard]] bool is_outdated(const load_digest& digest, const peer& known, instant now) const;
     void send_to_peers(const load_digest& digest);
     void remove_inactive_peers(instant now);
 
@@ -83,6 +90,7 @@
     std::map<std::string, peer> peers_;
     relay::engine_loads sent_loads_;
     std::uint64_t sent_configuration_ = 0;
+    std::uint64_t incarnation_ = 0;
     std::uint64_t sequence_ = 0;
     instant delta_due_{};
     instant full_due_{};
--- a/include/currantspar/io/clock.hpp
+++ b/include/currantspar/io/clock.hpp
@@ -12,7 +12,7 @@
 /// Not comparable with monotonic_now(). Thread safe.
 [[nodiscard]] instant suspend_aware_now();
 
-/// The wall clock, for people only. Thread safe.
+/// The wall clock, for people and to tell the starts of a process apart; it may be set back. Thread safe.
 [[nodiscard]] wall_time wall_now();
 
 } // namespace currantspar::io
--- a/src/currantspar/gateway/load_digest.cpp
+++ b/src/currantspar/gateway/load_digest.cpp
@@ -191,6 +191,7 @@
     auto root = message.initRoot<wire::LoadDigest>();
     root.setSender(digest.sender);
     root.setSequence(digest.sequence);
+    root.setIncarnation(digest.incarnation);
     root.setWhole(digest.full);
     root.setConfiguration(digest.configuration);
     root.setDataCentre(digest.data_centre.str());
@@ -218,6 +219,7 @@
         const auto root = message.getRoot<wire::LoadDigest>();
         digest.sender = root.getSender().cStr();
         digest.sequence = root.getSequence();
+        digest.incarnation = root.getIncarnation();
         digest.full = root.getWhole();
         digest.configuration = root.getConfiguration();
         digest.data_centre = data_centre_id(root.getDataCentre().cStr());
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -225,6 +225,7 @@
     digest.quarantine.completed = {{99, std::chrono::milliseconds(30)}};
     digest.quarantine.quarantined = {{100, 2, std::chrono::seconds(70), std::chrono::seconds(480)}};
     digest.speeds = {{service_id("llm"), {1.5, 20}}};
+    digest.incarnation = 1234567890456;
     const auto read = decode_digest(encode_digest(digest));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read->data_centre.str() == "a");
@@ -237,6 +238,7 @@
     BOOST_TEST(!read->servers->changes[1].entry.has_value());
     BOOST_TEST(read->sender == digest.sender);
     BOOST_TEST(read->full);
+    BOOST_TEST(read->incarnation == digest.incarnation);
     BOOST_TEST(read->engines.at(17).tokens == 51000);
     BOOST_TEST(read->segments.at(0).segment == 99U);
     BOOST_TEST(read->configuration == 8U);
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -15,6 +15,12 @@
 
 namespace {
 
+/// The time of this start: it grows from one start of a node to the next unless its wall clock is set back.
+std::uint64_t new_incarnation()
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(1, io::wall_now().time_since_epoch().count()));
+}
+
 constexpr std::size_t datagram_bytes = 16384;
 /// Datagrams that one event reads; the rest follows after the other events.
 constexpr int max_datagrams = 64;
@@ -45,6 +51,7 @@
     }
     socket_.enable(ACE_NONBLOCK);
     self_ = address;
+    incarnation_ = new_incarnation();
     data_centre_ = data_centre;
     if (reactor_.register_handler(this, ACE_Event_Handler::READ_MASK) != 0) {
         return fail(error_kind::internal, "the reactor rejected the socket at " + address);
@@ -58,7 +65,7 @@
         return;
     }
     if (const auto parsed = io::parse_address(address); parsed) {
-        peers_.emplace(address, peer{ACE_INET_Addr(parsed->port, parsed->host.c_str()), now, 0});
+        peers_.emplace(address, peer{ACE_INET_Addr(parsed->port, parsed->host.c_str()), now, 0, 0, now});
     }
 }
 
@@ -105,6 +112,7 @@
     sent_configuration_ = configuration;
     // Only a sent digest delays the next one, so a change after an idle period is sent at once.
     delta_due_ = now + digest_period();
+    digest.incarnation = incarnation_;
     digest.sequence = ++sequence_;
     send_to_peers(digest);
 }
@@ -163,13 +171,28 @@
     }
     peer& known = found->second;
     known.last_received = now;
-    // A much lower sequence number comes from a restarted peer; a slightly lower one was reordered.
-    constexpr std::uint64_t reorder_window = 64;
-    if (digest->sequence < known.sequence && known.sequence - digest->sequence < reorder_window) {
+    if (is_outdated(*digest, known, now)) {
         return;
     }
+    known.incarnation = digest->incarnation;
     known.sequence = digest->sequence;
+    known.last_counted = now;
     received_(*digest);
 }
 
+bool peer_link::is_outdated(const load_digest& digest, const peer& known, instant now) const
+{
+    const bool lower = digest.sequence < known.sequence;
+    if (digest.incarnation == 0) {
+        // Without an incarnation, a much lower sequence number tells a restart; a slightly lower one was
+        // reordered.
+        constexpr std::uint64_t reorder_window = 64;
+        return lower && known.sequence - digest.sequence < reorder_window;
+    }
+    if (digest.incarnation < known.incarnation) {
+        return now - known.last_counted <= options_.incarnation_timeout;
+    }
+    return digest.incarnation == known.incarnation && lower;
+}
+
 } // namespace currantspar::gateway
