Split digests that one datagram doesn't hold

What other nodes could see: nothing of a node whose digest encodes to more than 16,384 bytes, since the receiver's buffer cut it and the rest couldn't be decoded. That hits the full digests, one like the other, of a node with work at 400 engines while crashes are reported, and the updates of the servers' list that went with them. Beyond 400 engines or 200 new segments the digest left out the rest, and loads left out counted as sent.

Cause: the limits on two lists were meant to make a digest fit, but the lists that came later (crashes, completions, quarantines, speeds, changes of servers) weren't counted, and names have no bounded length.

Change: a digest that encodes to more than 16,384 bytes is halved, item by item, until each part fits. Each part is a digest by itself with a sequence number of its own; only the first of a full one says so, since a full one replaces what is known, and each part of an update of the servers' list covers the offsets from its first change on, so a part that is lost is seen as a gap and the store is read. Halving ends: each part has at least one item and fewer than the whole. One item alone may be longer than 16,384 bytes only by a caller's request id (a header of at most 16,384 bytes) or an odd entry of the servers' list; the receive buffer now holds the largest datagram of UDP over IPv4, 65,507 bytes. An entry beyond that can't be sent; it is a gap for the receivers, which read the store. Nodes of earlier releases receive the parts. The limits of 400 engines and 200 segments are gone.

Not measured: the bytes a second of a node with work at more than 400 engines, which grow by what was left out before.

--- a/include/currantspar/gateway/load_digest.hpp
+++ b/include/currantspar/gateway/load_digest.hpp
@@ -15,7 +15,7 @@
 
 namespace currantspar::gateway {
 
-/// A decoded digest: what one node announces to its peers.
+/// A decoded digest: what one node announces to its peers. split_off_half() divides each of its lists.
 struct load_digest
 {
     std::string sender; ///< the node's peer address
@@ -36,6 +36,10 @@
 [[nodiscard]] std::string encode_digest(const load_digest& digest);
 /// Parses a digest; an error of kind `invalid` when the bytes hold none. Thread safe.
 [[nodiscard]] result<load_digest> decode_digest(std::string_view bytes);
+/// Moves the latter half of what a digest lists into a second one, which isn't full and is to be sent after
+/// it: a receiver of both knows the same as one of the whole, and one of either knows nothing false. Returns
+/// nothing when the digest lists fewer than two items. Thread safe.
+[[nodiscard]] std::optional<load_digest> split_off_half(load_digest& digest);
 
 } // namespace currantspar::gateway
 
--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -78,7 +78,8 @@
     void receive(std::string_view bytes);
     /// Returns whether a digest is older than what is known of its sender.
     [[nodiscard]] bool is_outdated(const load_digest& digest, const peer& known, instant now) const;
-    void send_to_peers(const load_digest& digest);
+    /// Sends a digest, in several datagrams if it is too large for one.
+    void send_to_peers(load_digest digest);
     void remove_inactive_peers(instant now);
 
     ACE_Reactor& reactor_;
--- a/src/currantspar/gateway/load_digest.cpp
+++ b/src/currantspar/gateway/load_digest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -13,9 +15,6 @@
 
 namespace {
 
-/// Limits of a digest, so that it fits into one datagram.
-constexpr std::size_t max_engines = 400;
-constexpr std::size_t max_segments = 200;
 constexpr std::size_t traversal_words = 16384;
 constexpr unsigned role_count = 3;
 
@@ -92,13 +91,9 @@
 
 void write_engines(const relay::engine_loads& engines, wire::LoadDigest::Builder root)
 {
-    const std::size_t count = std::min(engines.size(), max_engines);
-    auto out = root.initEngines(static_cast<unsigned>(count));
+    auto out = root.initEngines(static_cast<unsigned>(engines.size()));
     unsigned index = 0;
     for (const auto& [engine, work] : engines) {
-        if (index == count) {
-            break;
-        }
         auto entry = out[index++];
         entry.setEngine(engine);
         entry.setReadMs(static_cast<std::uint32_t>(std::max(0.0, std::round(work.prefill_ms))));
@@ -109,9 +104,8 @@
 
 void write_segments(const std::vector<relay::cached_segment>& segments, wire::LoadDigest::Builder root)
 {
-    const std::size_t count = std::min(segments.size(), max_segments);
-    auto out = root.initParts(static_cast<unsigned>(count));
-    for (unsigned segment = 0; segment < count; ++segment) {
+    auto out = root.initParts(static_cast<unsigned>(segments.size()));
+    for (unsigned segment = 0; segment < out.size(); ++segment) {
         out[segment].setEngine(segments[segment].engine);
         out[segment].setPart(segments[segment].segment);
     }
@@ -183,8 +177,65 @@
     return report;
 }
 
+/// Moves all items but the first `kept` to `to`, and takes those that stay off `kept`.
+template <typename List>
+void move_rest(List& from, List& to, std::size_t& kept)
+{
+    const std::size_t staying = std::min(kept, from.size());
+    const auto rest = std::next(from.begin(), static_cast<std::ptrdiff_t>(staying));
+    std::move(rest, from.end(), std::inserter(to, to.end()));
+    from.erase(rest, from.end());
+    kept -= staying;
+}
+
+/// The same for an update's changes: each part covers the offsets from its first change on.
+void move_rest(std::optional<relay::directory_update>& from, std::optional<relay::directory_update>& to,
+               std::size_t& kept)
+{
+    if (!from) {
+        return;
+    }
+    relay::directory_update rest{0, from->to, {}, from->age};
+    move_rest(from->changes, rest.changes, kept);
+    if (!rest.changes.empty()) {
+        rest.from = rest.changes.front().offset;
+        from->to = rest.from;
+        to = std::move(rest);
+    }
+}
+
+std::size_t item_count(const load_digest& digest)
+{
+    const relay::quarantine_report& report = digest.quarantine;
+    return (digest.servers ? digest.servers->changes.size() : 0) + digest.engines.size() +
+           digest.segments.size() + digest.speeds.size() + report.lost.size() + report.completed.size() +
+           report.quarantined.size();
+}
+
 } // namespace
 
+std::optional<load_digest> split_off_half(load_digest& digest)
+{
+    std::size_t kept = item_count(digest) / 2;
+    if (kept == 0) {
+        return std::nullopt;
+    }
+    load_digest rest;
+    rest.sender = digest.sender;
+    rest.sequence = digest.sequence;
+    rest.incarnation = digest.incarnation;
+    rest.configuration = digest.configuration;
+    rest.data_centre = digest.data_centre;
+    move_rest(digest.servers, rest.servers, kept);
+    move_rest(digest.engines, rest.engines, kept);
+    move_rest(digest.segments, rest.segments, kept);
+    move_rest(digest.speeds, rest.speeds, kept);
+    move_rest(digest.quarantine.lost, rest.quarantine.lost, kept);
+    move_rest(digest.quarantine.completed, rest.quarantine.completed, kept);
+    move_rest(digest.quarantine.quarantined, rest.quarantine.quarantined, kept);
+    return rest;
+}
+
 std::string encode_digest(const load_digest& digest)
 {
     capnp::MallocMessageBuilder message;
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -21,7 +21,10 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, io::wall_now().time_since_epoch().count()));
 }
 
-constexpr std::size_t datagram_bytes = 16384;
+/// Larger digests are split: nodes of earlier releases receive no more at once.
+constexpr std::size_t max_digest_bytes = 16384;
+/// The largest datagram that UDP over IPv4 carries, for a digest that can't be split.
+constexpr std::size_t max_datagram_bytes = 65507;
 /// Datagrams that one event reads; the rest follows after the other events.
 constexpr int max_datagrams = 64;
 
@@ -113,13 +116,20 @@
     // Only a sent digest delays the next one, so a change after an idle period is sent at once.
     delta_due_ = now + digest_period();
     digest.incarnation = incarnation_;
-    digest.sequence = ++sequence_;
-    send_to_peers(digest);
+    send_to_peers(std::move(digest));
 }
 
-void peer_link::send_to_peers(const load_digest& digest)
+void peer_link::send_to_peers(load_digest digest)
 {
+    digest.sequence = ++sequence_;
     const std::string bytes = encode_digest(digest);
+    if (bytes.size() > max_digest_bytes) {
+        if (auto rest = split_off_half(digest)) {
+            send_to_peers(std::move(digest));
+            send_to_peers(std::move(*rest));
+            return;
+        }
+    }
     for (const auto& [address, to] : peers_) {
         // A datagram that can't be sent is treated like a lost one: the next full digest repairs it.
         static_cast<void>(socket_.send(bytes.data(), bytes.size(), to.address));
@@ -145,7 +155,7 @@
 
 int peer_link::handle_input(ACE_HANDLE)
 {
-    static std::array<char, datagram_bytes> buffer;
+    static std::array<char, max_datagram_bytes> buffer;
     for (int count = 0; count < max_datagrams; ++count) {
         ACE_INET_Addr from;
         const ssize_t got = socket_.recv(buffer.data(), buffer.size(), from, MSG_DONTWAIT);
--- a/src/currantspar/gateway/peer_link_test.cpp
+++ b/src/currantspar/gateway/peer_link_test.cpp
@@ -33,12 +33,121 @@
         return received.size() > before;
     }
 
+    /// Returns all that the received digests say together.
+    load_digest total() const
+    {
+        load_digest sum;
+        for (const load_digest& each : received) {
+            sum.engines.insert(each.engines.begin(), each.engines.end());
+            sum.segments.insert(sum.segments.end(), each.segments.begin(), each.segments.end());
+            sum.speeds.insert(each.speeds.begin(), each.speeds.end());
+            const relay::quarantine_report& report = each.quarantine;
+            auto& lost = sum.quarantine.lost;
+            lost.insert(lost.end(), report.lost.begin(), report.lost.end());
+            sum.quarantine.completed.insert(report.completed.begin(), report.completed.end());
+            auto& quarantined = sum.quarantine.quarantined;
+            quarantined.insert(quarantined.end(), report.quarantined.begin(), report.quarantined.end());
+        }
+        return sum;
+    }
+
     ACE_Reactor reactor{new ACE_Dev_Poll_Reactor, true};
     std::vector<load_digest> received;
     std::string address = test::free_address();
     peer_link link;
 };
 
+/// A node with work at many engines, which sends digests.
+struct sending_link
+{
+    explicit sending_link(receiving_link& receiver)
+    {
+        BOOST_REQUIRE(link.open(test::free_address(), data_centre_id("a")).has_value());
+        link.add_peer(receiver.address, now);
+    }
+
+    /// Sends a request to each of `count` engines, with a segment that others may share.
+    void send_requests(unsigned count)
+    {
+        for (unsigned index = 0; index < count; ++index) {
+            relay::request_info request;
+            request.prompt_tokens = 100000;
+            request.segments = {{spread(index), 50000}, {spread(index + count), 50000}};
+            relay::placement chosen;
+            chosen.decode_engine = engine(index);
+            chosen.prefill_ms = 1000000 + index;
+            work.on_sent(attempt_id(index + 1), service_id("llm"), chosen, request, now);
+        }
+    }
+
+    void send_digest(std::optional<relay::directory_update> servers = std::nullopt)
+    {
+        link.send_digest(work, quarantine, 1, std::move(servers), now);
+        now += std::chrono::milliseconds(100);
+    }
+
+    static backend_id engine(unsigned index)
+    {
+        return backend_id("engine-" + std::to_string(index) + std::string(50, 'x'));
+    }
+
+    /// Returns a number whose bytes don't compress.
+    static std::uint64_t spread(std::uint64_t index) { return (index + 1) * 0x9e3779b97f4a7c15U; }
+
+    ACE_Reactor reactor{new ACE_Dev_Poll_Reactor, true};
+    instant now = io::monotonic_now();
+    relay::engine_choice work{relay::engine_choice_options{}};
+    relay::segment_quarantine quarantine;
+    peer_link link{reactor, {}, [](const load_digest&) {}};
+};
+
+/// Gives a quarantine as much to report as it reports at once.
+void fill(relay::segment_quarantine& quarantine, instant now)
+{
+    constexpr unsigned crashed_segments = 16;
+    std::vector<relay::lost_request> lost;
+    relay::quarantine_report from_peer;
+    for (unsigned index = 0; index < 32; ++index) {
+        relay::lost_request each;
+        each.request_id = "request-" + std::to_string(index) + std::string(50, 'x');
+        each.engine = sending_link::engine(index);
+        each.engine_started_ms = 1234567890123;
+        each.since_sent = std::chrono::seconds(9);
+        each.since_crash = std::chrono::milliseconds(300);
+        for (unsigned segment = 0; segment < crashed_segments; ++segment) {
+            each.segments.push_back(sending_link::spread(5000 + index * crashed_segments + segment));
+        }
+        from_peer.completed.emplace(each.segments[0], std::chrono::milliseconds(200));
+        lost.push_back(std::move(each));
+    }
+    for (unsigned index = 0; index < 64; ++index) {
+        from_peer.quarantined.push_back(
+            {sending_link::spread(9000 + index), 3, std::chrono::seconds(1000), std::chrono::seconds(20000)});
+    }
+    quarantine.on_crash(lost, now);
+    quarantine.on_peer_report("127.0.0.1:9", from_peer, now);
+}
+
+/// Returns the largest update of the servers' list.
+relay::directory_update largest_update()
+{
+    constexpr std::uint64_t first = 1000000;
+    const std::size_t count = relay::directory_changelog_options{}.max_changes;
+    relay::directory_update update;
+    update.from = first;
+    for (unsigned index = 0; index < count; ++index) {
+        relay::server_entry entry;
+        entry.id = sending_link::engine(index);
+        entry.service = service_id(std::string(60, 's'));
+        entry.address = "100.100.100.100:12345";
+        entry.data_centre = data_centre_id(std::string(60, 'd'));
+        entry.started_ms = 1234567890123;
+        update.changes.push_back({first + 10 + 3 * index, entry.id, entry});
+    }
+    update.to = update.changes.back().offset + 5;
+    return update;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(peer_link_tests)
@@ -118,6 +227,83 @@
     BOOST_TEST(node.received[2].incarnation > node.received[1].incarnation);
 }
 
+/// Guards against a node whose digests are lost, one like the other, because they don't fit into a datagram.
+BOOST_AUTO_TEST_CASE(the_largest_digest_arrives_whole)
+{
+    constexpr std::size_t earlier_buffer = 16384; // what nodes of earlier releases can receive
+    receiving_link node;
+    sending_link from(node);
+    from.send_requests(400);
+    fill(from.quarantine, from.now);
+    const relay::directory_update update = largest_update();
+    from.send_digest(update);
+    node.link.handle_input(ACE_INVALID_HANDLE);
+
+    const load_digest total = node.total();
+    BOOST_TEST(total.engines.size() == 400U);
+    BOOST_TEST(total.segments.size() == 400U);
+    BOOST_REQUIRE(total.quarantine.lost.size() == 32U);
+    BOOST_TEST(total.quarantine.lost[31].segments.size() == 16U);
+    BOOST_TEST(total.quarantine.completed.size() == 32U);
+    BOOST_TEST(total.quarantine.quarantined.size() == 64U);
+    for (unsigned index = 0; index < 400; ++index) {
+        const auto work = total.engines.find(relay::engine_hash(sending_link::engine(index)));
+        BOOST_REQUIRE((work != total.engines.end()));
+        BOOST_TEST(work->second.prefill_ms == 1000000 + index);
+    }
+    // A full digest replaces what is known, so only the first may be one.
+    std::uint64_t next = update.from;
+    std::size_t changes = 0;
+    for (const load_digest& each : node.received) {
+        BOOST_TEST(each.full == (&each == &node.received.front()));
+        BOOST_TEST(encode_digest(each).size() <= earlier_buffer);
+        if (each.servers) {
+            BOOST_TEST(each.servers->from == next);
+            next = each.servers->to;
+            changes += each.servers->changes.size();
+        }
+    }
+    BOOST_TEST(next == update.to);
+    BOOST_TEST(changes == update.changes.size());
+}
+
+/// Guards against loads that no digest names because there are more than one datagram holds.
+BOOST_AUTO_TEST_CASE(digests_name_all_engines_of_a_large_installation)
+{
+    receiving_link node;
+    sending_link from(node);
+    from.send_digest();
+    from.send_requests(2700);
+    from.send_digest();
+    node.link.handle_input(ACE_INVALID_HANDLE);
+    BOOST_TEST(node.total().engines.size() == 2700U);
+    BOOST_TEST(node.total().segments.size() == 2700U);
+    node.received.clear();
+    from.now += std::chrono::seconds(2);
+    from.send_digest();
+    node.link.handle_input(ACE_INVALID_HANDLE);
+    BOOST_TEST(node.total().engines.size() == 2700U);
+}
+
+/// A caller's header of 16,384 bytes limits the id of its request.
+BOOST_AUTO_TEST_CASE(a_lost_request_with_the_longest_id_arrives)
+{
+    receiving_link node;
+    sending_link from(node);
+    relay::lost_request lost;
+    lost.request_id = std::string(relay::caller_limits{}.header_bytes, 'x');
+    lost.engine = backend_id("e1");
+    lost.segments = {1, 2};
+    from.quarantine.on_crash({lost}, from.now);
+    from.send_requests(400);
+    from.send_digest();
+    node.link.handle_input(ACE_INVALID_HANDLE);
+    const load_digest total = node.total();
+    BOOST_TEST(total.engines.size() == 400U);
+    BOOST_REQUIRE(total.quarantine.lost.size() == 1U);
+    BOOST_TEST((total.quarantine.lost[0].request_id == lost.request_id));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
