--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -31,6 +31,9 @@
     /// lost.
     duration recent = std::chrono::milliseconds(3500);
     double min_change_ms = 8; ///< smaller changes of the pending prefill time aren't sent at once
+    /// A peer whose wall clock was set back before it restarted is heard once its former process was silent
+    /// for this long: a live one sends a full digest each full_period, and two of them may be lost.
+    duration incarnation_timeout = std::chrono::seconds(3);
 };
 
 /// Announces this node's load at each engine to the other nodes, by datagrams that may be lost. Not thread
@@ -74,11 +77,16 @@
     {
         ACE_INET_Addr address;
         instant last_received{};
-        std::uint64_t sequence = 0;
+        std::uint64_t incarnation = 0; ///< 0: unknown
+        std::uint64_t sequence = 0;    ///< of the last digest that counted
+        instant last_counted{};
     };
 
     void receive(std::string_view bytes);
-    void send_to_peers(const load_digest& digest);
+    /// Returns whether a digest is older than what is known of its sender.
+    [[nodiscard]] bool is_outdated(const load_digest& digest, const peer& known, instant now) const;
+    /// Sends a digest, in several datagrams if it is too large for one.
+    void send_to_peers(load_digest digest);
     void remove_inactive_peers(instant now);
 
     ACE_Reactor& reactor_;
@@ -90,6 +98,7 @@
     std::map<std::string, peer> peers_;
     relay::engine_loads sent_loads_;
     std::uint64_t sent_configuration_ = 0;
+    std::uint64_t incarnation_ = 0;
     std::uint64_t sequence_ = 0;
     instant delta_due_{};
     instant full_due_{};
