Keep a server's pause and announced shutdown until their stated ends

What callers could see: a server that had asked for a pause, or announced its shutdown, got requests again at once when its entry was removed and came back in the meantime under the same start, for example after a lapse. A server that announced its shutdown and stayed got none from that node until it restarted or its entry was removed. The log told only the beginnings.

Cause: what a server says was kept beside its entry and forgotten with it.

Change, in server_directory: pauses and announcements are kept with the server's start and outlive the entry. A pause ends at its time or with a restart. An announcement that arrives after the removal counts too. It ends with a restart, after 60 s without an entry, or when the server writes its entry anew, not draining, 60 s or more after the last sign that it leaves: the announcement, a draining entry, or a removal or return of the entry. The time starts over while the store is away, soon after its return, and when this process stood still for over a second.

Why this doesn't send requests to a server that leaves (DRAIN): such a server writes `draining`, or its entry is removed; a write without an answer may take effect seconds later. That the entry is still there for 60 s proves nothing: while the store takes no writes, entries may stay, and the server serves until its report is accepted. So store_reader reports each write that the node reads. A node that relies on a peer sees changes only, and reads the servers once each 2 s while only the proof is missing.

--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -215,6 +215,7 @@
     /// Probes the engine at which a request was lost, unless a probe is under way.
     void probe_after_loss(const request& req, instant now, relay_effects& out);
     void log_quarantine_changes(relay_effects& out);
+    void log_statement_ends(relay_effects& out);
     void send(request_map::iterator it, const server_entry& server, attempt_stage stage,
               const std::string& handle, const std::string& handle_address, instant now, relay_effects& out);
     /// Sends a request whose KV cache was refused to another decode engine, since the first may have been
--- a/include/currantspar/relay/server_directory.hpp
+++ b/include/currantspar/relay/server_directory.hpp
@@ -16,6 +16,13 @@
     /// Entries removed during an outage of the store, or less than this after its end, stay in use until this
     /// time after its end, unless they are draining: live servers write theirs again within two seconds.
     duration outage_retention = std::chrono::milliseconds(2200);
+    /// A server that announced its shutdown is used again when it writes its entry anew, and not draining,
+    /// this long after the announcement: one that really leaves writes `draining` or nothing, and its last
+    /// write before that may take effect seconds later. An announcement is forgotten when the entry is gone
+    /// for this long.
+    duration leaving_retention = std::chrono::seconds(60);
+    /// After a longer time without a tick, what is read next may be old.
+    duration max_tick_gap = std::chrono::seconds(1);
 };
 
 /// Effect of a directory change on a server's availability.
@@ -27,6 +34,21 @@
     closed, ///< accepts no new work from now on
 };
 
+/// The end of what a server asked for in a response, for the log.
+struct statement_end
+{
+    enum class kind
+    {
+        pause,
+        leaving,
+    };
+
+    kind what = kind::pause;
+    backend_id server;
+    const char* reason = ""; ///< `over`, `restarted`, `stayed`, or `gone`: its entry didn't return
+    duration lasted{};
+};
+
 /// One change of the servers' directory, as recorded in the shared store.
 struct directory_change
 {
@@ -56,14 +78,23 @@
     void on_store_lost(instant now);
     /// The store is reachable again.
     void on_store_recovered(instant now);
-    /// Removes missing entries whose retention has ended.
+    /// Removes missing entries whose retention has ended, and ends pauses and announced shutdowns.
     void on_tick(instant now);
 
-    /// A server said in a response that it shuts down: it is closed until it has restarted or is removed,
-    /// whatever its entry says. Returns whether that is new.
-    bool on_leaving(const backend_id& id);
-    /// A server asked this node to send it nothing before `until`. Returns whether that is new.
-    bool on_pause(const backend_id& id, instant until);
+    /// A server said in a response that it shuts down: whatever its entry says, also one that is removed and
+    /// returns, it is closed until it has restarted or on_written tells that it has stayed. Returns whether
+    /// that is new.
+    bool on_leaving(const backend_id& id, instant now);
+    /// A server wrote its entry, changed or not, as this node has just read in the store.
+    void on_written(const server_entry& entry, instant now);
+    /// Returns whether a server that announced its shutdown may be used again as soon as on_written tells
+    /// that it has stayed.
+    [[nodiscard]] bool awaits_write(instant now) const;
+    /// A server asked this node to send it nothing before `until`, which a restart ends, and the removal and
+    /// return of its entry doesn't. Returns whether that is new.
+    bool on_pause(const backend_id& id, instant until, instant now);
+    /// Returns the pauses and announced shutdowns that have ended since the last call.
+    [[nodiscard]] std::vector<statement_end> take_statement_ends();
     /// Returns when the first of a service's servers that asked for a pause accepts work again.
     [[nodiscard]] std::optional<instant> first_pause_end(const service_id& service) const;
     /// Returns whether a server accepts new work.
@@ -77,16 +108,46 @@
     [[nodiscard]] const std::map<backend_id, server_entry>& entries() const { return entries_; }
 
 private:
+    struct pause
+    {
+        std::int64_t started_ms = 0; ///< of the server's incarnation
+        instant began{};
+        instant until{};
+    };
+    struct announcement
+    {
+        std::int64_t started_ms = 0;
+        instant began{};
+        instant last_evidence{}; ///< when the server announced its shutdown, or may have been leaving
+    };
+    struct removed_entry
+    {
+        std::int64_t started_ms = 0;
+        instant at{};
+    };
+
     void rebuild();
-    void forget_responses(const backend_id& id);
+    void erase(const backend_id& id, instant now);
+    /// Ends what an earlier incarnation of the server asked for.
+    void on_incarnation(const server_entry& entry, instant now);
+    /// Returns the start of a server whose entry is there or was removed a short time ago.
+    [[nodiscard]] std::optional<std::int64_t> started_ms(const backend_id& id) const;
+    void end_pauses(instant now);
+    void end_announcements(instant now);
+    void end(std::map<backend_id, announcement>::iterator leaving, const char* reason, instant now);
+    /// Returns whether what the store holds may not be known.
+    [[nodiscard]] bool unobserved(instant now) const;
     [[nodiscard]] bool retaining(instant now) const;
 
     directory_options options_;
     std::map<backend_id, server_entry> entries_;
     std::map<service_id, std::vector<server_entry>> open_;
-    std::set<backend_id> missing_;         ///< removed in an outage or soon after, in use until retain_until_
-    std::set<backend_id> leaving_;         ///< by their own word
-    std::map<backend_id, instant> paused_; ///< until when
+    std::set<backend_id> missing_; ///< removed in an outage or soon after, in use until retain_until_
+    std::map<backend_id, announcement> leaving_;
+    std::map<backend_id, pause> paused_;
+    std::map<backend_id, removed_entry> removed_;
+    std::vector<statement_end> ended_;
+    instant last_tick_{};
     bool store_lost_ = false;
     instant retain_until_{};
 };
--- a/src/currantspar/gateway/store_reader.cpp
+++ b/src/currantspar/gateway/store_reader.cpp
@@ -22,6 +22,9 @@
 constexpr duration update_period = std::chrono::milliseconds(200);
 /// Between two early reads that peers' digests cause for the same version of the configuration.
 constexpr duration refresh_period = std::chrono::milliseconds(1200);
+/// Between two reads that look whether a server that announced its shutdown has stayed. They see only what
+/// was written since the last update of the peer, so it takes several.
+constexpr duration written_check_period = std::chrono::seconds(2);
 
 std::string_view topic_name(shared_topic topic)
 {
@@ -139,12 +142,22 @@
 {
     update_reader_role();
     configuration_->on_tick(now);
+    check_written(now);
     servers_->on_tick(now);
     if (nodes_) {
         nodes_->on_tick(now);
     }
 }
 
+void store_reader::check_written(instant now)
+{
+    // A peer's updates name changes only, not that an entry was written anew.
+    if (!reading_ && now >= written_check_due_ && core_.directory().awaits_write(now)) {
+        written_check_due_ = now + written_check_period;
+        servers_->read_once(now);
+    }
+}
+
 void store_reader::update_reader_role()
 {
     const bool should_read = reader_selection_.should_read(io::suspend_aware_now()) || !changelog_.listed() ||
@@ -275,6 +288,7 @@
             return;
         }
         change.entry = *entry;
+        core_.directory().on_written(*entry, now);
     }
     if (changelog_.on_record(change)) {
         apply(change, "store", now);
--- a/src/currantspar/gateway/store_reader.hpp
+++ b/src/currantspar/gateway/store_reader.hpp
@@ -54,6 +54,8 @@
     void refresh_configuration(const load_digest& digest, instant now);
     void apply_directory_update(const load_digest& digest, instant now);
     void update_reader_role();
+    /// Reads the servers once when what a peer tells leaves open whether a server has stayed.
+    void check_written(instant now);
 
     server_pool& store_;
     const wire_protocol& wire_;
@@ -73,6 +75,7 @@
     instant update_due_{};
     std::uint64_t refreshed_version_ = 0; ///< the newest version that a read was started early for
     instant refresh_due_{};
+    instant written_check_due_{};
 };
 
 } // namespace currantspar::gateway
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -260,10 +260,10 @@
         return out;
     }
     const request& req = it->second;
-    if (head.leaving && directory_.on_leaving(req.server)) {
+    if (head.leaving && directory_.on_leaving(req.server, now)) {
         out.push_back(log_decision{"server_leaving", req.info.id, {{"server", req.server.str()}}});
     }
-    if (head.pause > duration{} && directory_.on_pause(req.server, now + head.pause)) {
+    if (head.pause > duration{} && directory_.on_pause(req.server, now + head.pause, now)) {
         out.push_back(
             log_decision{"server_paused",
                          req.info.id,
@@ -396,6 +396,7 @@
 {
     relay_effects out;
     directory_.on_tick(now);
+    log_statement_ends(out);
     engines_.on_tick(now);
     quarantine_.on_tick(now);
     log_quarantine_changes(out);
--- a/src/currantspar/relay/relay_core_crashes.cpp
+++ b/src/currantspar/relay/relay_core_crashes.cpp
@@ -128,4 +128,16 @@
     }
 }
 
+void relay_core::log_statement_ends(relay_effects& out)
+{
+    for (const statement_end& end : directory_.take_statement_ends()) {
+        const bool paused = end.what == statement_end::kind::pause;
+        out.push_back(log_decision{paused ? "server_pause_ended" : "server_leaving_ended",
+                                   {},
+                                   {{"server", end.server.str()},
+                                    {"reason", end.reason},
+                                    {"lasted_ms", milliseconds_text(end.lasted)}}});
+    }
+}
+
 } // namespace currantspar::relay
