--- a/include/currantspar/relay/server_limits.hpp
+++ b/include/currantspar/relay/server_limits.hpp
@@ -39,7 +39,9 @@
     /// A node that had nothing to send for a moment may send so much of its share later.
     duration max_saved = std::chrono::milliseconds(500);
     duration ended_retention =
-        std::chrono::seconds(10);  ///< how long older reports of an ended limit may arrive
+        std::chrono::seconds(10); ///< how long older reports of an ended limit may arrive
+    /// A limit is forgotten when no node has heard of its server for this long.
+    duration max_silence = std::chrono::minutes(10);
     std::size_t max_reported = 64; ///< in one report
 };
 
@@ -60,8 +62,8 @@
     /// A peer reported what `server` said. Repeated, late and reordered reports do no harm.
     void on_peer_report(const server_entry& server, const limit_report& report, const std::string& peer,
                         instant now);
-    /// A server restarted or left.
-    void forget(const backend_id& server) { limits_.erase(server); }
+    /// A server's entry was read in the store: its limit ends if the server has restarted.
+    void on_entry(const server_entry& server);
     /// Sets the names of this node and of all live nodes, with or without this one.
     void set_nodes(const std::string& self, const std::vector<std::string>& nodes, instant now);
 
@@ -77,7 +79,7 @@
     [[nodiscard]] std::vector<limit_report> make_report(bool full, instant now);
     /// Returns the changes since the last call.
     [[nodiscard]] std::vector<limit_change> take_changes();
-    /// Discards ended limits that no report can bring back any more.
+    /// Discards ended limits that no report can bring back any more, and those of servers that are silent.
     void on_tick(instant now);
     /// Returns the number of servers with a limit.
     [[nodiscard]] std::size_t size() const;
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -65,7 +65,9 @@
     const entry_change effect = directory_.apply(change, now);
     if (restarted || (!change.entry && effect == entry_change::closed)) {
         engines_.forget_engine(change.id);
-        limits_.forget(change.id);
+    }
+    if (change.entry) {
+        limits_.on_entry(*change.entry);
     }
     return effect;
 }
--- a/src/currantspar/relay/relay_core_limits_test.cpp
+++ b/src/currantspar/relay/relay_core_limits_test.cpp
@@ -137,6 +137,16 @@
     BOOST_TEST(node.core.limits().admits(restarted.id, at(1.1)));
 }
 
+/// Guards against nodes that all forget a limit when the store drops the server's entry for a moment.
+BOOST_AUTO_TEST_CASE(a_limit_outlives_the_removal_and_return_of_its_entry)
+{
+    served_node node;
+    name_limit(node, "desk-1", 1);
+    node.core.on_server_change({0, backend_id("desk-1"), std::nullopt}, at(1.1));
+    node.core.on_server_change({0, backend_id("desk-1"), test::make_server("desk-1", "desk")}, at(1.2));
+    BOOST_TEST(!node.core.limits().admits(backend_id("desk-1"), at(1.2)));
+}
+
 /// Each send counts, whatever it is for.
 BOOST_AUTO_TEST_CASE(a_send_uses_up_the_share)
 {
--- a/src/currantspar/relay/server_limits.cpp
+++ b/src/currantspar/relay/server_limits.cpp
@@ -31,6 +31,14 @@
     adopt(server, report.per_second, now - report.age, peer, now);
 }
 
+void server_limits::on_entry(const server_entry& server)
+{
+    const auto known = limits_.find(server.id);
+    if (known != limits_.end() && known->second.started_ms != server.started_ms) {
+        limits_.erase(known);
+    }
+}
+
 bool server_limits::adopt(const server_entry& server, std::optional<double> per_second, instant said,
                           const std::string& source, instant now)
 {
@@ -163,7 +171,8 @@
 void server_limits::on_tick(instant now)
 {
     std::erase_if(limits_, [&](const auto& each) {
-        return !each.second.per_second && now - each.second.said > options_.ended_retention;
+        const duration retention = each.second.per_second ? options_.max_silence : options_.ended_retention;
+        return now - each.second.said > retention;
     });
 }
 
