--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -65,7 +65,9 @@
     const entry_change effect = directory_.apply(change, now);
     if (restarted || (!change.entry && effect == entry_change::closed)) {
         engines_.forget_engine(change.id);
-        limits_.forget(change.id);
+    }
+    if (change.entry) {
+        limits_.on_entry(*change.entry);
     }
     return effect;
 }
@@ -279,10 +281,10 @@
         return out;
     }
     const request& req = it->second;
-    if (head.leaving && directory_.on_leaving(req.server)) {
+    if (head.leaving && directory_.on_leaving(req.server, now)) {
         out.push_back(log_decision{"server_leaving", req.info.id, {{"server", req.server.str()}}});
     }
-    if (head.pause > duration{} && directory_.on_pause(req.server, now + head.pause)) {
+    if (head.pause > duration{} && directory_.on_pause(req.server, now + head.pause, now)) {
         out.push_back(
             log_decision{"server_paused",
                          req.info.id,
@@ -421,6 +423,7 @@
 {
     relay_effects out;
     directory_.on_tick(now);
+    log_statement_ends(out);
     engines_.on_tick(now);
     quarantine_.on_tick(now);
     limits_.on_tick(now);
