--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -217,7 +217,8 @@
     avoided_servers(const request& req, const std::vector<server_entry>& servers, instant now) const;
     /// Returns why none of a service's open servers can be sent a request.
     [[nodiscard]] const char* unavailable_reason(const std::vector<server_entry>& servers, instant now) const;
-    /// Returns when a limit first leaves this node a request for a server of the service.
+    /// Returns the time until a limit leaves this node a request for a server of the service, at most that
+    /// until a caller comes back when there is no server.
     [[nodiscard]] duration limits_wait(const service_id& service, instant now) const;
     [[nodiscard]] request_map::iterator find_attempt(attempt_id attempt);
     void dispatch(request_map::iterator it, instant now, relay_effects& out);
--- a/src/currantspar/relay/relay_core_engines.cpp
+++ b/src/currantspar/relay/relay_core_engines.cpp
@@ -122,8 +122,11 @@
 const server_entry* relay_core::choose_decode_engine(const request& req, instant now) const
 {
     const server_entry* placed = directory_.find(req.placed.decode_engine);
-    if (placed == nullptr || !directory_.is_open(placed->id) || limits_.admits(placed->id, now)) {
-        return placed != nullptr && directory_.is_open(placed->id) ? placed : nullptr;
+    if (placed == nullptr || !directory_.is_open(placed->id)) {
+        return nullptr;
+    }
+    if (limits_.admits(placed->id, now)) {
+        return placed;
     }
     const std::vector<server_entry>& servers = directory_.open_servers(req.service);
     return engines_.least_busy_decode_engine(servers, avoided_servers(req, servers, now));
