Don't tell callers to come back at once when a limit isn't what they wait for

What callers could see: Retry-After of 8 ms after a refusal, when one server had refused the request and another one's limit left no room.

Cause: the wait was that for the first server that accepts a request now, and the one without a limit, which had just refused, always does. Only servers whose limit leaves no room count now. The new test failed before; test_relay and test_gateway pass.

--- a/src/currantspar/relay/relay_core_limits.cpp
+++ b/src/currantspar/relay/relay_core_limits.cpp
@@ -35,7 +35,7 @@
     // Another node may have a share left, so a caller needn't wait longer than for a server to appear.
     duration wait = options_.no_server_retry;
     for (const server_entry& server : directory_.open_servers(service)) {
-        if (const auto next = limits_.next_admission(server.id, now)) {
+        if (const auto next = limits_.next_admission(server.id, now); next && *next > now) {
             wait = std::min(
                 wait, std::max(options_.min_time_left, std::chrono::duration_cast<duration>(*next - now)));
         }
--- a/src/currantspar/relay/relay_core_limits_test.cpp
+++ b/src/currantspar/relay/relay_core_limits_test.cpp
@@ -56,6 +56,23 @@
     BOOST_TEST(node.core.open_requests() == 0U);
 }
 
+/// Guards against a caller that is told to come back at once, because a server without a limit had refused
+/// its request.
+BOOST_AUTO_TEST_CASE(a_server_that_refused_a_request_does_not_shorten_its_wait_for_a_limit)
+{
+    served_node node;
+    const relay_effects effects = node.core.on_request(request_number(1), make_call("r", "/once/1"), at(1));
+    const auto* start = first<start_attempt>(effects);
+    BOOST_REQUIRE(start != nullptr);
+    node.core.on_written(start->attempt);
+    name_limit(node, start->server == backend_id("desk-1") ? "desk-2" : "desk-1", 1);
+    const relay_effects refused =
+        node.core.on_failure(start->attempt, attempt_failure::not_run, "status 503", at(1.1));
+    const auto* response = first<reply>(refused);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST((response->retry_after == relay_options{}.no_server_retry));
+}
+
 /// Guards against retries beyond a limit, after a refusal and after a lost response.
 BOOST_AUTO_TEST_CASE(retries_keep_to_limits)
 {
