--- a/review/standins-2/installation.py
+++ b/review/standins-2/installation.py
@@ -198,6 +198,12 @@
         for each in list(self._writers):
             each.transport.abort()
 
+    async def restart(self):
+        """Starts the process again at its address and under its id; it knows nothing of before."""
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        await self.open(int(self.address.rpartition(":")[2]))
+
     async def _beats(self):
         while True:
             self.sequence += 1
