--- a/review/standins-2/installation.py
+++ b/review/standins-2/installation.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -19,19 +20,27 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 GATEWAY = ["target/currantspar", "gateway"]
-HOST = "127.0.0.1"
+# Each run has a loopback address of its own, so that runs beside each other don't take each other's ports.
+HOST = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
 BEAT_S = 1.2
 READY_TIMEOUT_S = 15
 
 
+_ports = itertools.count(random.randint(10000, 20000))
+
+
 def free_ports(count):
-    """Returns `count` ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns `count` ports below those of outgoing connections, none of them twice in a run."""
+    ports = []
+    while len(ports) < count:
+        port = next(_ports)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
@@ -351,8 +360,9 @@
     async def wait_ready(self):
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not await self.is_ready():
-            if time.monotonic() > deadline:
-                raise RuntimeError(f"{self.name} isn't ready")
+            if time.monotonic() > deadline or self.process.returncode is not None:
+                log = (self.installation.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
+                raise RuntimeError(f"{self.name} isn't ready: {log[-500:]}")
             await asyncio.sleep(0.1)
 
 
@@ -415,6 +425,7 @@
 
     async def whole():
         installation = Installation()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await installation.open()
             return await asyncio.wait_for(main(installation), 110)
@@ -423,6 +434,6 @@
 
     try:
         return asyncio.run(whole())
-    except Exception as problem:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as problem:  # pylint: disable=broad-except
         print(f"couldn't run: {problem!r}")
         return 2
