--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,5 @@
-"""One runner hands out wrong bytes in the answer about a prompt that it read: does another runner get a request that
-nobody sent?
+"""Some runners hand out wrong bytes in a few of their answers about prompts that they read: does another runner get a
+request that nobody sent?
 
 UNASKED is broken when a runner runs a request whose id no requester sent.
 """
@@ -20,8 +20,11 @@
 NODES = 2
 PREFILL_RUNNERS = 4
 DECODE_RUNNERS = 2
-REQUESTS = 40
-PAUSE_S = 0.1
+# `garble`: at most 0.5 of the runners spoil at most 0.05 of their answers, for at most 6.7 s.
+FAULTY_RUNNERS = 3
+SPOILT_SHARE = 0.05
+REQUESTS = 240
+PAUSE_S = 0.025
 PROMPT_TOKENS = 17020
 EVENTS = 3
 # What the faulty runner writes in place of a handle: a second request behind the first one.
@@ -82,9 +85,21 @@
         self.record = record
         self.handles = set()  # prompts that were read and not taken
         self.begun = []  # ids of the requests that ran
-        self.faulty = None  # id of the runner that hands out wrong bytes
+        self.faulty = set()  # ids of the runners that hand out wrong bytes
+        self.answers = 0  # of the faulty runners
+        self.spoilt = 0
         self._next = itertools.count(1)
 
+    def spoils(self, runner):
+        """Returns whether this answer is spoilt; never more than the share of the faulty runners' answers."""
+        if runner.id not in self.faulty:
+            return False
+        self.answers += 1
+        if self.spoilt + 1 > SPOILT_SHARE * self.answers:
+            return False
+        self.spoilt += 1
+        return True
+
     async def serve(self, runner, request, writer):
         """A sound runner, but for the answers of the faulty one about prompts that it read."""
         fields = request["fields"]
@@ -93,7 +108,7 @@
             await asyncio.sleep(0.02)
             handle = f"{next(self._next):012x}"
             self.handles.add(f"{runner.address}/{handle}")
-            if runner.id == self.faulty:
+            if self.spoils(runner):
                 handle = WRONG_HANDLE
                 self.record.line(f"{runner.id} (faulty) read the prompt of {number} and answers with wrong bytes")
             answer = {"kv_handle": handle, "token_count": PROMPT_TOKENS, "version": 1}
@@ -130,20 +145,27 @@
     for place in range(PREFILL_RUNNERS + DECODE_RUNNERS):
         stage = "prefill" if place < PREFILL_RUNNERS else "decode"
         runner = await installation.add_runner("llm", runs.serve, stage=stage)
-        if place == 0 and TROUBLE:
-            runs.faulty = runner.id
+        if place < FAULTY_RUNNERS and TROUBLE:
+            runs.faulty.add(runner.id)
     for place in range(NODES):
         await installation.add_node(f"edge-{place}")
     for node in installation.nodes:
         await node.wait_ready()
     await asyncio.sleep(2)
     sent = set()
-    for number in range(1, REQUESTS + 1):
+    calls = []
+
+    async def send(number):
         name = f"{number:016x}"
-        sent.add(name)
         answer = await kit.call(installation.nodes[number % NODES].front, ask(number), 8)
         record.line(f"{name} sent to edge-{number % NODES}, answered: {answer[0] if answer else 'nothing'}")
+
+    for number in range(1, REQUESTS + 1):
+        sent.add(f"{number:016x}")
+        calls.append(asyncio.ensure_future(send(number)))
         await asyncio.sleep(PAUSE_S)
+    await asyncio.gather(*calls)
+    record.line(f"faulty runners spoilt {runs.spoilt} of {runs.answers} answers")
     unasked = [name for name in runs.begun if name not in sent]
     record.line(f"{len(sent)} requests sent, {len(runs.begun)} run, {len(unasked)} run that nobody sent")
     if not runs.begun:
