Bound what the kernel holds unread for callers

Callers saw processes end on small machines: the platform counts bytes that have been received and not yet read toward the memory, and connections that wait for memory aren't read. Their receive buffers weren't limited, so the kernel let each one grow to megabytes.

memory_plan divides up the memory; a quarter is for the callers' receive buffers, which connections inherit from the listener, so that the bound also holds for those that wait to be accepted. Output beyond 16 KiB that a peer has no room for stays in the process, where the budget counts it.

--- a/include/currantspar/gateway/tcp_connection.hpp
+++ b/include/currantspar/gateway/tcp_connection.hpp
@@ -48,7 +48,8 @@
     /// Takes ownership of an accepted connection; false when it couldn't be registered with the reactor.
     bool adopt(ACE_SOCK_Stream& accepted);
     /// Starts connecting; on_connected or on_closed follows. False when connecting failed at once.
-    bool connect(const io::socket_address& address);
+    /// `receive_buffer`: bytes that the kernel may hold unread; 0: its default.
+    bool connect(const io::socket_address& address, std::size_t receive_buffer = 0);
     /// Sends or queues bytes. Nothing is sent before the connection is established.
     void write(std::string_view bytes);
     /// The same without a copy when nothing is queued.
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -18,7 +18,8 @@
                              caller_server_options options)
     : reactor_(reactor), sink_(sink), limits_(std::move(limits)), options_(options),
       listener_(
-          reactor, [this](ACE_SOCK_Stream& accepted) { accept(accepted); }, [this] { return make_room(); })
+          reactor, [this](ACE_SOCK_Stream& accepted) { accept(accepted); }, [this] { return make_room(); },
+          options_.receive_buffer)
 {}
 
 caller_server::~caller_server() = default;
--- a/src/currantspar/gateway/caller_server.hpp
+++ b/src/currantspar/gateway/caller_server.hpp
@@ -20,6 +20,7 @@
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     /// An idle connection may be replaced by a new one after this long, when there are as many as allowed.
     duration min_idle_time = std::chrono::milliseconds(250);
+    std::size_t receive_buffer = 0;  ///< bytes that the kernel may hold unread for each; 0: its default
     memory_budget* budget = nullptr; ///< of the process; optional, must outlive the server
 };
 
--- a/src/currantspar/gateway/caller_server_test.cpp
+++ b/src/currantspar/gateway/caller_server_test.cpp
@@ -46,7 +46,7 @@
     memory_budget budget{400000};
     echoing_sink sink;
     caller_server server{
-        reactor, sink, [] { return reader_limits{}; }, {3, std::chrono::milliseconds(0), &budget}};
+        reactor, sink, [] { return reader_limits{}; }, {3, std::chrono::milliseconds(0), 0, &budget}};
 };
 
 std::string head(const std::string& target, std::size_t length)
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -44,9 +44,6 @@
     return options;
 }
 
-/// The part of the process's memory that may be held for its peers. The rest is for the program, its tables,
-/// what is copied while it is parsed or sent, and fragmentation.
-constexpr std::size_t budget_divisor = 3;
 /// Descriptors of the process's own: files, listeners, probe and metrics connections.
 constexpr std::size_t own_descriptors = 200;
 constexpr std::size_t default_connections = 4096;
@@ -67,6 +64,19 @@
     return std::max(min_connections, free / 2);
 }
 
+memory_plan plan_memory_of(const gateway_settings& settings)
+{
+    return plan_memory(settings.memory_bytes,
+                       max_caller_connections(settings.max_descriptors) + listen_backlog);
+}
+
+server_pool_options server_options(const memory_plan& plan)
+{
+    server_pool_options options;
+    options.receive_buffer = plan.server_receive_buffer;
+    return options;
+}
+
 server_pool_options store_pool_options()
 {
     server_pool_options options;
@@ -77,8 +87,9 @@
 } // namespace
 
 gateway_node::gateway_node(ACE_Reactor& reactor, const wire_protocol& wire, gateway_settings settings)
-    : wire_(wire), settings_(std::move(settings)), budget_(settings_.memory_bytes / budget_divisor),
-      core_(to_options(settings_)), servers_(reactor, {}), store_(reactor, store_pool_options()),
+    : wire_(wire), settings_(std::move(settings)), memory_plan_(plan_memory_of(settings_)),
+      budget_(memory_plan_.budget), core_(to_options(settings_)),
+      servers_(reactor, server_options(memory_plan_)), store_(reactor, store_pool_options()),
       readiness_server_(
           reactor, [this](const http_request& request) { return handle_readiness_probe(request); }, budget_),
       metrics_server_(
@@ -88,7 +99,8 @@
                          const relay::caller_limits now = limits();
                          return reader_limits{now.header_bytes, now.body_bytes};
                      },
-                     {max_caller_connections(settings_.max_descriptors), min_idle_time, &budget_}),
+                     {max_caller_connections(settings_.max_descriptors), min_idle_time,
+                      memory_plan_.caller_receive_buffer, &budget_}),
       peers_(reactor, to_peer_options(settings_),
              [this](const load_digest& digest) { on_digest(digest, io::monotonic_now()); }),
       usage_(settings_.duties, settings_.peer_address,
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -12,6 +12,7 @@
 #include "connect_probe.hpp"
 #include "currantspar/gateway/caller_connection.hpp"
 #include "currantspar/gateway/event_splitter.hpp"
+#include "currantspar/gateway/memory_plan.hpp"
 #include "currantspar/gateway/peer_link.hpp"
 #include "currantspar/gateway/server_connection.hpp"
 #include "currantspar/gateway/wire_protocol.hpp"
@@ -129,6 +130,7 @@
 
     const wire_protocol& wire_;
     gateway_settings settings_;
+    memory_plan memory_plan_;
     memory_budget budget_;
     memory_account responses_{&budget_}; ///< incomplete ones of all attempts
     relay::relay_core core_;
--- a/src/currantspar/gateway/listener.cpp
+++ b/src/currantspar/gateway/listener.cpp
@@ -11,12 +11,12 @@
 #include "currantspar/io/address.hpp"
 #include "currantspar/io/clock.hpp"
 #include "currantspar/io/log.hpp"
+#include "socket_options.hpp"
 
 namespace currantspar::gateway {
 
 namespace {
 
-constexpr int backlog = 512;
 /// Connections that one event accepts; the rest follows after the other events.
 constexpr int max_accepts = 16;
 /// Until the next accept after one that failed for lack of a descriptor or of memory.
@@ -29,8 +29,10 @@
 
 } // namespace
 
-listener::listener(ACE_Reactor& reactor, accept_handler accepted, room_check has_room)
-    : reactor_(reactor), accepted_(std::move(accepted)), has_room_(std::move(has_room))
+listener::listener(ACE_Reactor& reactor, accept_handler accepted, room_check has_room,
+                   std::size_t receive_buffer)
+    : reactor_(reactor), accepted_(std::move(accepted)), has_room_(std::move(has_room)),
+      receive_buffer_(receive_buffer)
 {}
 
 listener::~listener()
@@ -45,9 +47,11 @@
         return tl::unexpected(parsed.error());
     }
     const ACE_INET_Addr local(parsed->port, parsed->host.c_str());
-    if (acceptor_.open(local, 1, PF_INET, backlog) != 0) {
+    if (acceptor_.open(local, 1, PF_INET, listen_backlog) != 0) {
         return fail(error_kind::unavailable, "can't listen at " + address + ": " + std::strerror(errno));
     }
+    // Accepted connections inherit it.
+    limit_receive_buffer(acceptor_, receive_buffer_);
     acceptor_.enable(ACE_NONBLOCK);
     if (reactor_.register_handler(this, ACE_Event_Handler::ACCEPT_MASK) != 0) {
         return fail(error_kind::internal, "the reactor rejected the listener at " + address);
--- a/src/currantspar/gateway/listener.hpp
+++ b/src/currantspar/gateway/listener.hpp
@@ -13,6 +13,9 @@
 
 namespace currantspar::gateway {
 
+/// Connections that wait in the kernel to be accepted, at most.
+inline constexpr std::size_t listen_backlog = 256;
+
 /// Accepts connections at one address. Not thread safe.
 class listener : public ACE_Event_Handler
 {
@@ -21,8 +24,11 @@
     using room_check = std::function<bool()>;
 
     /// `has_room` is asked before each accept; while it says no, connections wait in the kernel.
+    /// `receive_buffer`: bytes that the kernel may hold unread for each connection, from before it is
+    /// accepted; 0: the kernel's default.
     listener(
-        ACE_Reactor& reactor, accept_handler accepted, room_check has_room = [] { return true; });
+        ACE_Reactor& reactor, accept_handler accepted, room_check has_room = [] { return true; },
+        std::size_t receive_buffer = 0);
     ~listener() override;
 
     /// Starts accepting at `IP:port`.
@@ -49,6 +55,7 @@
     ACE_SOCK_Acceptor acceptor_;
     accept_handler accepted_;
     room_check has_room_;
+    std::size_t receive_buffer_;
     std::optional<instant> paused_until_;
     log_limiter failure_lines_;
 };
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -47,7 +47,7 @@
     bool open(const io::socket_address& to, instant now)
     {
         opened_ = now;
-        return connect(to);
+        return connect(to, pool_.options_.receive_buffer);
     }
 
     void begin(exchange_id exchange, outgoing_request request, exchange_sink& sink)
--- a/src/currantspar/gateway/tcp_connection.cpp
+++ b/src/currantspar/gateway/tcp_connection.cpp
@@ -14,6 +14,7 @@
 #include <sys/ioctl.h>
 
 #include "currantspar/gateway/memory_budget.hpp"
+#include "socket_options.hpp"
 
 namespace currantspar::gateway {
 
@@ -28,6 +29,9 @@
 constexpr duration window_check_delay = std::chrono::seconds(1);
 /// Output buffers beyond this are freed once they are sent, and what was sent is removed from their front.
 constexpr std::size_t max_kept_output = 65536;
+/// Output that the kernel takes beyond what the peer has room for. The rest stays in the process, where it is
+/// charged to the memory's budget.
+constexpr int max_unsent_in_kernel = 16384;
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
@@ -37,13 +41,6 @@
     return {problem, std::generic_category()};
 }
 
-template <typename Value>
-void set_option(ACE_SOCK_Stream& stream, int level, int name, Value value)
-{
-    // An unsupported option only delays the detection of a dead peer.
-    static_cast<void>(stream.set_option(level, name, &value, sizeof value));
-}
-
 } // namespace
 
 tcp_connection::tcp_connection(ACE_Reactor& reactor) : reactor_(reactor) {}
@@ -60,6 +57,7 @@
     set_option(stream_, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(stream_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_option(stream_, IPPROTO_TCP, TCP_NOTSENT_LOWAT, max_unsent_in_kernel);
     set_user_timeout(user_timeout);
 }
 
@@ -120,7 +118,7 @@
     return reactor_.register_handler(this, ACE_Event_Handler::READ_MASK) == 0;
 }
 
-bool tcp_connection::connect(const io::socket_address& address)
+bool tcp_connection::connect(const io::socket_address& address, std::size_t receive_buffer)
 {
     ACE_SOCK_Connector connector;
     const ACE_INET_Addr remote(address.port, address.host.c_str());
@@ -132,6 +130,7 @@
     }
     stream_.enable(ACE_NONBLOCK);
     set_options();
+    limit_receive_buffer(stream_, receive_buffer);
     connecting_ = true;
     write_interest_ = true;
     return reactor_.register_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK) == 0;
