Admit large bodies by what has come, and let stalled ones go sooner

Causes, from the node's log and a trial that printed each answer: - A chunked body above 16 KiB reserved memory for the largest one, so three filled a machine of 112 MB. - Reservations were given in the order of arrival, and one that didn't fit held up all behind it. - A body could pause for a second, or trickle, while all others waited for its memory. - Connections that waited held their first bytes without a reservation. 1,300 of them took what they waited for, and were closed by weight, the ordinary one among them, after 0.7 to 0.9 s.

Now a chunked body reserves in steps of what has come; bodies that fit pass those that don't; while others wait, a body may pause for 250 ms and takes a time that follows from its size; connections without a reservation that exceed their quarter of the budget lose it, the worst first; when the wait lasts, the newest goes first; and who has waited for 2 s gets 503 (not run) with Retry-After. Nothing of this applies while no connection waits for memory.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -38,6 +38,7 @@
     std::size_t bytes = 0;  ///< of memory
     duration since{};       ///< without progress
     bool held_back = false; ///< by this process, not by its caller
+    bool too_long = false;  ///< so that its memory goes to connections that wait for it
 
     [[nodiscard]] double weight() const { return static_cast<double>(bytes) * to_seconds(since); }
 };
@@ -77,8 +78,6 @@
 
     /// Since when nothing is read because the memory is used up; empty when that isn't so.
     [[nodiscard]] std::optional<instant> waits_since() const;
-    /// True when a body is too large to be read without a reservation, and has none.
-    [[nodiscard]] bool needs_reservation() const;
     /// Reads on when the budget allows it; false when the connection must wait longer.
     bool stop_waiting(instant now);
     /// The memory that is bound by a partly received request or by unread output; empty when there is none.
@@ -102,6 +101,11 @@
     void read_request();
     /// Goes on with a body that isn't complete; false when it must wait for memory.
     bool admit_body();
+    /// The body's bytes for which memory must be reserved before it is read on: those declared, or the next
+    /// step beyond those received; 0 for a small body.
+    [[nodiscard]] std::size_t expected_body_bytes() const;
+    /// True when the reserved memory has brought in too little of its body.
+    [[nodiscard]] bool wastes_reservation(instant now) const;
     void wait_for_memory();
     void note_progress(std::size_t bytes);
     void update_memory();
@@ -128,6 +132,8 @@
     bool requests_left_ = false; ///< one event has answered as many as it may
     instant since_{};            ///< start of the request being received, or of the idle time
     std::optional<instant> waits_since_;
+    instant received_at_{};           ///< when bytes were last received, or a wait for memory ended
+    instant reserved_at_{};           ///< when memory was first reserved for the body
     instant progress_at_{};           ///< when enough of a request was last received, or output was last sent
     std::size_t progress_bytes_ = 0;  ///< received since then
     std::size_t request_bytes_ = 0;   ///< memory of the open request
--- a/include/currantspar/gateway/memory_budget.hpp
+++ b/include/currantspar/gateway/memory_budget.hpp
@@ -30,15 +30,24 @@
     /// The bytes charged to all accounts.
     [[nodiscard]] std::size_t used() const { return used_; }
     [[nodiscard]] bool exceeded() const { return used_ > limit_; }
-    /// True when no bytes are left for large bodies.
-    [[nodiscard]] bool under_pressure() const { return used_ > large_limit_; }
+    /// True when connections without a reservation take so much that none can be made for large bodies.
+    [[nodiscard]] bool small_exceeded() const { return small_used() > limit_ - large_limit_; }
+    /// True when bytes for large bodies are short, so that connections should take little beside them.
+    [[nodiscard]] bool under_pressure() const
+    {
+        return used_ > large_limit_ || small_used() > (limit_ - large_limit_) / 2;
+    }
 
 private:
     friend class memory_account;
 
+    /// The bytes charged to accounts without a reservation.
+    [[nodiscard]] std::size_t small_used() const { return used_ - large_used_; }
+
     std::size_t limit_;
     std::size_t large_limit_; ///< of all bytes, when a large body is admitted
     std::size_t used_ = 0;
+    std::size_t large_used_ = 0; ///< charged to accounts with a reservation
     std::size_t reservations_ = 0;
 };
 
@@ -54,11 +63,13 @@
 
     /// Sets the bytes that are allocated. A larger reservation is charged instead.
     void set_allocated(std::size_t bytes);
-    /// Reserves what a large body needs until its request has ended; false when it must wait. A body that
-    /// needs more than all large ones may take is admitted when no other is.
+    /// Raises the reservation to what a large body needs until its request has ended; false when it must
+    /// wait, and the reservation stays. A body that needs more than all large ones may take is admitted when
+    /// no other is.
     [[nodiscard]] bool reserve(std::size_t bytes);
     void release_reservation();
     [[nodiscard]] bool has_reservation() const { return reserved_ > 0; }
+    [[nodiscard]] std::size_t reserved() const { return reserved_; }
     /// The bytes charged.
     [[nodiscard]] std::size_t charged() const { return charged_; }
 
@@ -69,6 +80,7 @@
     std::size_t allocated_ = 0;
     std::size_t reserved_ = 0;
     std::size_t charged_ = 0;
+    std::size_t large_charged_ = 0; ///< of the charged bytes, when there is a reservation
 };
 
 } // namespace currantspar::gateway
--- a/include/currantspar/gateway/message_reader.hpp
+++ b/include/currantspar/gateway/message_reader.hpp
@@ -47,9 +47,9 @@
     [[nodiscard]] std::size_t body_bytes() const;
     /// The memory that the request takes so far.
     [[nodiscard]] std::size_t allocated_bytes() const;
-    /// Allocates a declared body at once, so that it isn't copied while it grows. Precondition: the head is
-    /// done.
-    void allocate_body();
+    /// Allocates memory for a body of as many bytes at once, so that it isn't copied while it grows.
+    /// Precondition: the head is done.
+    void allocate_body(std::size_t bytes);
     /// Moves the request out. Precondition: complete; the reader can't be used again.
     [[nodiscard]] http_request take();
 
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "currantspar/gateway/caller_connection.hpp"
 
+#include <algorithm>
+
 #include "currantspar/io/clock.hpp"
 
 namespace currantspar::gateway {
@@ -17,6 +19,17 @@
 constexpr std::size_t max_unsent_before_next = 65536;
 /// A body up to this size needs no reservation.
 constexpr std::size_t small_body_bytes = 16384;
+/// Memory for a body of unknown length is reserved in steps, each so many times the one before.
+constexpr std::size_t first_body_step = 65536;
+constexpr std::size_t body_step_factor = 4;
+/// While others wait for memory, a body that has some may pause for so long: a lost segment is sent again
+/// after 200 ms.
+constexpr duration max_body_pause = std::chrono::milliseconds(250);
+/// While others wait for memory, a body takes at most this time, more for each of its bytes.
+constexpr duration base_body_time = std::chrono::milliseconds(500);
+constexpr double min_body_bytes_per_second = 1048576;
+/// While others wait for memory, other requests and output may make no progress for so long.
+constexpr duration max_stall = std::chrono::seconds(1);
 /// A large body is held twice at its peak: in the request, and in the output to its server.
 constexpr std::size_t body_copies = 2;
 /// Memory of a connection without a request, about.
@@ -82,9 +95,10 @@
 void caller_connection::note_progress(std::size_t bytes)
 {
     progress_bytes_ += bytes;
+    received_at_ = io::monotonic_now();
     if (progress_bytes_ >= progress_unit) {
         progress_bytes_ = 0;
-        progress_at_ = io::monotonic_now();
+        progress_at_ = received_at_;
     }
 }
 
@@ -96,7 +110,7 @@
 
 void caller_connection::update_memory()
 {
-    if (in_.empty() && in_.capacity() > max_kept_input && !account_.has_reservation()) {
+    if (in_.empty() && in_.capacity() > max_kept_input) {
         free_memory(in_);
     }
     const std::size_t before = account_.charged();
@@ -144,6 +158,7 @@
     }
     const instant waited_since = *std::exchange(waits_since_, std::nullopt);
     progress_at_ = now;
+    received_at_ = now;
     if (reader_ && !admit_body()) {
         waits_since_ = waited_since;
         return false;
@@ -161,8 +176,25 @@
     if (!is_open() || (!is_receiving && unsent() == 0)) {
         return std::nullopt;
     }
-    const bool held_back = waits_since_ && unsent() == 0;
-    return connection_stall{account_.charged(), now - (held_back ? *waits_since_ : progress_at_), held_back};
+    if (waits_since_ && unsent() == 0) {
+        // One that waits for more memory than it has doesn't keep it from the others for long.
+        const duration waited = now - *waits_since_;
+        const bool keeps_memory = account_.has_reservation();
+        return connection_stall{account_.charged(), waited, !keeps_memory,
+                                keeps_memory && waited >= max_body_pause};
+    }
+    if (is_receiving && account_.has_reservation()) {
+        return connection_stall{account_.charged(), now - received_at_, false, wastes_reservation(now)};
+    }
+    const duration stalled = now - progress_at_;
+    return connection_stall{account_.charged(), stalled, false, stalled >= max_stall};
+}
+
+bool caller_connection::wastes_reservation(instant now) const
+{
+    const double seconds = static_cast<double>(expected_body_bytes()) / min_body_bytes_per_second;
+    const duration allowed = base_body_time + from_seconds(seconds);
+    return now - received_at_ >= max_body_pause || now - reserved_at_ >= allowed;
 }
 
 std::optional<duration> caller_connection::idle_time(instant now) const
@@ -235,10 +267,23 @@
     requests_left_ = count == max_requests_at_once;
 }
 
-bool caller_connection::needs_reservation() const
+std::size_t caller_connection::expected_body_bytes() const
 {
-    return reader_ && reader_->head_done() && !account_.has_reservation() &&
-           reader_->content_length().value_or(reader_->body_bytes()) > small_body_bytes;
+    if (!reader_ || !reader_->head_done()) {
+        return 0;
+    }
+    if (const auto declared = reader_->content_length()) {
+        return *declared > small_body_bytes ? static_cast<std::size_t>(*declared) : 0;
+    }
+    const std::size_t received = reader_->body_bytes();
+    if (received <= small_body_bytes) {
+        return 0;
+    }
+    std::size_t step = first_body_step;
+    while (step < received) {
+        step *= body_step_factor;
+    }
+    return std::min(step, limits_.body_bytes);
 }
 
 bool caller_connection::admit_body()
@@ -246,13 +291,15 @@
     if (!reader_->head_done()) {
         return true;
     }
-    if (needs_reservation()) {
-        const auto declared = reader_->content_length();
-        if (!account_.reserve(body_copies * declared.value_or(limits_.body_bytes) + max_read_bytes)) {
+    if (const std::size_t expected = expected_body_bytes(); expected > 0) {
+        if (!account_.has_reservation()) {
+            reserved_at_ = io::monotonic_now();
+        }
+        if (!account_.reserve(body_copies * expected + max_read_bytes)) {
             wait_for_memory();
             return false;
         }
-        reader_->allocate_body();
+        reader_->allocate_body(expected);
     }
     if (reader_->expects_continue() && !continue_sent_) {
         continue_sent_ = true;
@@ -268,7 +315,11 @@
     waits_since_.reset();
     account_.release_reservation();
     sink_.request_malformed(status);
-    write(write_response_head(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
+    http_fields fields{{"Content-Length", "0"}, {"Connection", "close"}};
+    if (status == status_unavailable) {
+        fields.push_back({"Retry-After", "1"});
+    }
+    write(write_response_head(status, fields));
     closing_ = true;
     on_sent();
     update_memory();
--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-/// A connection that makes so little progress while others wait for its memory is closed.
-constexpr duration max_stall = std::chrono::seconds(1);
+/// A connection that has waited for memory for so long is refused: a caller does better to try again
+/// elsewhere.
+constexpr duration max_wait = std::chrono::seconds(2);
+/// Once the first has waited for so long, the newest goes first: in a lasting shortage each one would
+/// otherwise be served only when its caller has nearly given up.
+constexpr duration max_wait_in_order = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -55,39 +59,52 @@
     }
 }
 
-void caller_server::serve_waiting(instant now)
+std::vector<caller_connection*> caller_server::waiting(instant now) const
 {
-    std::vector<caller_connection*> waiting;
+    std::vector<caller_connection*> found;
     for (const auto& [connection, owner] : connections_) {
         if (connection->waits_since()) {
-            waiting.push_back(connection);
+            found.push_back(connection);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto* left, const auto* right) {
+    std::sort(found.begin(), found.end(), [](const auto* left, const auto* right) {
         return *left->waits_since() < *right->waits_since();
     });
-    bool large_must_wait = false;
-    for (caller_connection* each : waiting) {
-        if (large_must_wait && each->needs_reservation()) {
-            continue;
+    const bool is_lasting = !found.empty() && now - *found.front()->waits_since() > max_wait_in_order;
+    if (is_lasting || options_.budget->small_exceeded()) {
+        std::reverse(found.begin(), found.end());
+    }
+    return found;
+}
+
+void caller_server::serve_waiting(instant now)
+{
+    while (options_.budget->small_exceeded() && close_stalled(now, stall_kind::too_long_or_held_back)) {
+    }
+    bool may_free = true;
+    for (caller_connection* each : waiting(now)) {
+        if (each->waits_since() && now - *each->waits_since() > max_wait) {
+            log_closed("memory", now);
+            each->give_up_memory();
         }
         // One that was refused meanwhile, to free memory, doesn't wait any more.
         while (each->waits_since() && !each->stop_waiting(now)) {
-            if (!close_stalled(now, max_stall, false)) {
-                large_must_wait = true;
+            may_free = may_free && close_stalled(now, stall_kind::too_long);
+            if (!may_free) {
                 break;
             }
         }
     }
 }
 
-bool caller_server::close_stalled(instant now, duration min_stall, bool held_back)
+bool caller_server::close_stalled(instant now, stall_kind kind)
 {
     caller_connection* worst = nullptr;
     double weight = -1;
     for (const auto& [connection, owner] : connections_) {
         const auto stall = connection->stall(now);
-        const bool counts = stall && stall->since >= min_stall && (held_back || !stall->held_back);
+        const bool counts = stall && (kind == stall_kind::any || stall->too_long ||
+                                      (kind == stall_kind::too_long_or_held_back && stall->held_back));
         if (counts && stall->weight() > weight) {
             worst = connection;
             weight = stall->weight();
@@ -108,7 +125,7 @@
     }
     const instant now = io::monotonic_now();
     while (options_.budget->exceeded() && !nothing_stalled_) {
-        nothing_stalled_ = !close_stalled(now, duration{}, true);
+        nothing_stalled_ = !close_stalled(now, stall_kind::any);
     }
     freeing_ = false;
 }
@@ -133,7 +150,8 @@
         oldest->abort("another connection needs its place");
         return true;
     }
-    return close_stalled(now, max_stall, true) && connections_.size() < options_.max_connections;
+    return close_stalled(now, stall_kind::too_long_or_held_back) &&
+           connections_.size() < options_.max_connections;
 }
 
 void caller_server::log_closed(const char* reason, instant now)
--- a/src/currantspar/gateway/caller_server.hpp
+++ b/src/currantspar/gateway/caller_server.hpp
@@ -54,11 +54,21 @@
     /// Makes room for a new connection, by closing the one that is idle longest if need be; false when all
     /// are in use.
     bool make_room();
-    /// Lets connections that wait for memory go on, in the order in which they began to wait.
+    /// Lets connections that wait for memory go on as far as there is some, and refuses those that have
+    /// waited too long.
     void serve_waiting(instant now);
-    /// Frees the memory of the connection that has stalled longest with the most bytes; false when none has
-    /// stalled for `min_stall`. Those that wait for memory count only if `held_back` is true.
-    bool close_stalled(instant now, duration min_stall, bool held_back);
+    /// The connections that wait for memory, in the order in which they get it.
+    [[nodiscard]] std::vector<caller_connection*> waiting(instant now) const;
+    /// Which connections may lose their memory.
+    enum class stall_kind
+    {
+        too_long,              ///< those that make too little progress by themselves
+        too_long_or_held_back, ///< also those that wait for memory
+        any,
+    };
+    /// Frees the memory of the connection that has stalled longest with the most bytes; false when there is
+    /// none of the kind.
+    bool close_stalled(instant now, stall_kind kind);
     void log_closed(const char* reason, instant now);
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
--- a/src/currantspar/gateway/caller_server_test.cpp
+++ b/src/currantspar/gateway/caller_server_test.cpp
@@ -88,6 +88,36 @@
     BOOST_TEST(here.server.closed_for_resources() == 1U);
 }
 
+/// Guards against chunked bodies that hold as much memory as the largest one may take, and so hold up all
+/// others.
+BOOST_AUTO_TEST_CASE(a_chunked_body_takes_memory_for_what_has_come)
+{
+    limited_server here;
+    const test::raw_caller stalled(here.address, "POST /stalled HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: "
+                                                 "chunked\r\n\r\n4e20\r\n" +
+                                                     std::string(20000, 'b'));
+    here.serve();
+    const test::raw_caller other(here.address, head("/other", 17000) + std::string(17000, 'b'));
+    here.serve();
+    BOOST_TEST(received(other).ends_with("/other"));
+    BOOST_TEST(received(stalled).empty());
+}
+
+/// Guards against callers that wait for a refusal which is known already.
+BOOST_AUTO_TEST_CASE(a_body_that_waits_too_long_for_memory_is_refused_as_not_run)
+{
+    limited_server here;
+    const test::raw_caller open(here.address, head("/first", large_body) + "x");
+    here.serve();
+    const test::raw_caller waiting(here.address, head("/waiting", large_body) + "x");
+    here.serve();
+    here.serve(1, std::chrono::milliseconds(2500));
+    here.serve();
+    const std::string response = received(waiting);
+    BOOST_TEST(response.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_body_announced_over_the_limit_is_refused_at_once)
 {
     limited_server here;
--- a/src/currantspar/gateway/memory_budget.cpp
+++ b/src/currantspar/gateway/memory_budget.cpp
@@ -29,17 +29,18 @@
 
 bool memory_account::reserve(std::size_t bytes)
 {
-    if (budget_ == nullptr || has_reservation()) {
+    if (budget_ == nullptr || (has_reservation() && bytes <= reserved_)) {
         return true;
     }
     const std::size_t others = budget_->used_ - charged_;
     const bool fits = bytes <= budget_->large_limit_ && others <= budget_->large_limit_ - bytes;
-    const bool is_alone = bytes > budget_->large_limit_ && budget_->reservations_ == 0;
+    const std::size_t own = has_reservation() ? 1 : 0;
+    const bool is_alone = bytes > budget_->large_limit_ && budget_->reservations_ == own;
     if (!fits && !is_alone) {
         return false;
     }
     reserved_ = std::max<std::size_t>(bytes, 1);
-    budget_->reservations_ += 1;
+    budget_->reservations_ += 1 - own;
     update();
     return true;
 }
@@ -56,11 +57,15 @@
 void memory_account::update()
 {
     const std::size_t charge = std::max(allocated_, reserved_);
+    const std::size_t large_charge = has_reservation() ? charge : 0;
     if (budget_ != nullptr) {
         budget_->used_ += charge;
         budget_->used_ -= charged_;
+        budget_->large_used_ += large_charge;
+        budget_->large_used_ -= large_charged_;
     }
     charged_ = charge;
+    large_charged_ = large_charge;
 }
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/memory_budget_test.cpp
+++ b/src/currantspar/gateway/memory_budget_test.cpp
@@ -61,6 +61,41 @@
     BOOST_TEST(other.reserve(5000));
 }
 
+BOOST_AUTO_TEST_CASE(a_reservation_grows_or_stays)
+{
+    memory_budget budget(1000);
+    memory_account one(&budget);
+    memory_account other(&budget);
+    BOOST_TEST(one.reserve(300));
+    BOOST_TEST(other.reserve(300));
+    BOOST_TEST(!one.reserve(600));
+    BOOST_TEST(one.reserved() == 300U);
+    other.release_reservation();
+    BOOST_TEST(one.reserve(600));
+    BOOST_TEST(one.reserve(5000));
+    BOOST_TEST(budget.used() == 5000U);
+    one.release_reservation();
+    BOOST_TEST(budget.used() == 0U);
+}
+
+// Connections that wait for memory must not take what they wait for.
+BOOST_AUTO_TEST_CASE(small_requests_exceed_their_part)
+{
+    memory_budget budget(1000);
+    memory_account small(&budget);
+    memory_account large(&budget);
+    BOOST_TEST(large.reserve(700));
+    BOOST_TEST(!budget.under_pressure());
+    small.set_allocated(200);
+    BOOST_TEST(budget.under_pressure());
+    BOOST_TEST(!budget.small_exceeded());
+    small.set_allocated(260);
+    BOOST_TEST(budget.small_exceeded());
+    small.set_allocated(0);
+    large.release_reservation();
+    BOOST_TEST(!budget.under_pressure());
+}
+
 BOOST_AUTO_TEST_CASE(without_a_budget_nothing_is_limited)
 {
     memory_account one(nullptr);
--- a/src/currantspar/gateway/message_reader.cpp
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -231,11 +231,9 @@
     return impl_->head_bytes + impl_->parser.get().body().capacity();
 }
 
-void request_reader::allocate_body()
+void request_reader::allocate_body(std::size_t bytes)
 {
-    if (const auto length = content_length()) {
-        impl_->parser.get().body().reserve(static_cast<std::size_t>(*length));
-    }
+    impl_->parser.get().body().reserve(bytes);
 }
 
 http_request request_reader::take()
