Count the fields of heads that aren't complete

Cause: the parser stores each field as its line arrives, some 80 bytes for a line of 5, but the budget counted fields only once the head was complete. Traced with the allocator's figures in each tick: 182 MB in use, 30 MB of them charged. The connections with such heads then took the memory for large bodies, and none of them had stalled.

The reader counts the lines that the parser has taken. While a connection waits for memory, those without a reservation give back what exceeds their part, the greatest first, whatever their progress.

--- a/src/currantspar/gateway/caller_server.cpp
+++ b/src/currantspar/gateway/caller_server.cpp
@@ -79,10 +79,14 @@
 
 void caller_server::serve_waiting(instant now)
 {
-    while (options_.budget->small_exceeded() && close_stalled(now, stall_kind::too_long_or_held_back)) {
+    const std::vector<caller_connection*> in_order = waiting(now);
+    if (in_order.empty()) {
+        return;
+    }
+    while (options_.budget->small_exceeded() && close_stalled(now, stall_kind::any)) {
     }
     bool may_free = true;
-    for (caller_connection* each : waiting(now)) {
+    for (caller_connection* each : in_order) {
         if (each->waits_since() && now - *each->waits_since() > max_wait) {
             log_closed("memory", now);
             each->give_up_memory();
--- a/src/currantspar/gateway/message_reader.cpp
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -75,6 +75,11 @@
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+std::size_t count_lines(std::string_view bytes)
+{
+    return static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+}
+
 template <typename Fields>
 http_fields copy_fields(const Fields& from)
 {
@@ -152,6 +157,7 @@
         }
         // The parser adds the fields of a trailer to those of the head.
         head_fields = copy_fields(message);
+        head_bytes = 0;
         for (const http_field& field : head_fields) {
             head_bytes += field_bytes + 2 * (field.name.size() + field.value.size());
         }
@@ -160,6 +166,9 @@
 
     reader_limits limits;
     http::request_parser<received_body> parser;
+    /// Counts what the parser takes for the lines of a head that isn't complete.
+    void on_head_consumed(std::size_t lines, std::size_t bytes) { head_bytes += lines * field_bytes + bytes; }
+
     bool head_checked = false;
     http_fields head_fields;
     std::size_t head_bytes = 0; ///< memory of the head
@@ -190,9 +199,12 @@
     if (has_folded_line(bytes)) {
         return read_progress::malformed;
     }
+    const std::size_t bytes_before = bytes.size();
+    const std::size_t lines_before = count_lines(bytes);
     impl_->parser.eager(false);
     const read_progress progress = feed(impl_->parser, bytes, impl_->limits.header_bytes, true);
     impl_->parser.eager(true);
+    impl_->on_head_consumed(lines_before - count_lines(bytes), bytes_before - bytes.size());
     if (progress != read_progress::incomplete && progress != read_progress::complete) {
         return progress;
     }
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -37,6 +37,21 @@
     BOOST_TEST(request.body == "abc");
 }
 
+/// Guards against heads without an end whose parsed fields take memory that nothing counts.
+BOOST_AUTO_TEST_CASE(the_fields_of_a_partly_received_head_are_counted)
+{
+    constexpr std::size_t fields = 2500;
+    constexpr std::size_t min_bytes_per_field = 80; // in Beast's list of fields
+    request_reader reader({});
+    std::string bytes = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (std::size_t count = 0; count < fields; ++count) {
+        bytes += "X:y\r\n";
+    }
+    BOOST_TEST((reader.read(bytes) == read_progress::incomplete));
+    BOOST_TEST(!reader.head_done());
+    BOOST_TEST(reader.allocated_bytes() + bytes.capacity() >= fields * min_bytes_per_field);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_a_request_are_left_for_the_next_one)
 {
     std::string bytes = "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
