Let the budget follow what the tables leave of the memory

With large tables a process exceeded its memory while callers asked for large responses and read nothing: 58.9 MB of 48 with 11,000 routes (test_untrusted_clients, large_tables, responses_that_nobody_reads; run with the update switched off).

Cause: the budget was a third of the memory, and incomplete responses a quarter, whatever the tables and the heap's free memory took beside them.

The node looks at its resident memory every 50 ms and sets the budget to what is left beside the kernel's buffers, the tables and a slack, at most the former third, at least a sixteenth; responses follow, but one alone may still take a quarter. When memory is short, free memory inside the heap goes back to the system.

--- a/include/currantspar/gateway/memory_budget.hpp
+++ b/include/currantspar/gateway/memory_budget.hpp
@@ -27,6 +27,10 @@
     ~memory_budget() = default;
 
     [[nodiscard]] std::size_t limit() const { return limit_; }
+    /// Sets the limit. What is charged already stays charged.
+    void set_limit(std::size_t limit);
+    /// The bytes that are allocated, without what is only reserved.
+    [[nodiscard]] std::size_t allocated() const { return allocated_; }
     /// The bytes charged to all accounts.
     [[nodiscard]] std::size_t used() const { return used_; }
     [[nodiscard]] bool exceeded() const { return used_ > limit_; }
@@ -44,9 +48,10 @@
     /// The bytes charged to accounts without a reservation.
     [[nodiscard]] std::size_t small_used() const { return used_ - large_used_; }
 
-    std::size_t limit_;
-    std::size_t large_limit_; ///< of all bytes, when a large body is admitted
+    std::size_t limit_ = 0;
+    std::size_t large_limit_ = 0; ///< of all bytes, when a large body is admitted
     std::size_t used_ = 0;
+    std::size_t allocated_ = 0;
     std::size_t large_used_ = 0; ///< charged to accounts with a reservation
     std::size_t reservations_ = 0;
 };
--- a/include/currantspar/gateway/memory_plan.hpp
+++ b/include/currantspar/gateway/memory_plan.hpp
@@ -25,9 +25,17 @@
 [[nodiscard]] std::size_t budget_beside(const memory_plan& plan, std::size_t memory_bytes,
                                         std::size_t other_bytes);
 
-/// The resident memory of this process in bytes; 0 when the system doesn't tell. Thread safe.
+/// The resident memory of this process in bytes; 0 when the system doesn't tell, or when a checker's own
+/// memory is in it. Thread safe.
 [[nodiscard]] std::size_t resident_memory();
 
+/// Makes the C library return freed memory to the system instead of keeping it. Call it once, before memory
+/// is allocated for peers. Thread safe.
+void configure_allocator();
+
+/// Returns free memory inside the heap to the system. Takes milliseconds. Thread safe.
+void release_free_memory();
+
 } // namespace currantspar::gateway
 
 #endif
--- a/src/currantspar/gateway/endless_response_test.cpp
+++ b/src/currantspar/gateway/endless_response_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
 
+#include "currantspar/gateway/memory_plan.hpp"
 #include "test_node.hpp"
 #include "unary_call.hpp"
 
@@ -121,6 +122,7 @@
 BOOST_AUTO_TEST_CASE(bodies_without_end_from_many_servers_stay_within_one_budget)
 {
     constexpr std::size_t callers = 24;
+    configure_allocator(); // as in the program
     const auto endless = [](const http_request& from) {
         scripted_response response{"HTTP/1.1 200 OK\r\nProof: p\r\nId: " + id_of(from) + "\r\n\r\n"};
         response.endless = repeated("x");
--- a/src/currantspar/gateway/gateway.cpp
+++ b/src/currantspar/gateway/gateway.cpp
@@ -7,8 +7,8 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Reactor.h>
 #include <ace/Time_Value.h>
-#include <malloc.h>
 
+#include "currantspar/gateway/memory_plan.hpp"
 #include "currantspar/io/clock.hpp"
 #include "currantspar/io/log.hpp"
 #include "gateway_node.hpp"
@@ -20,11 +20,6 @@
 constexpr duration tick_period = std::chrono::milliseconds(25);
 constexpr int exit_unavailable = 4;
 constexpr int exit_usage = 2;
-/// Larger blocks, like bodies, go back to the system when they are freed. The C library would raise the
-/// threshold to the largest freed block, and later bodies would fragment the heap.
-constexpr int large_block_bytes = 131072;
-/// Free memory at the end of the heap that is kept.
-constexpr int kept_heap_bytes = 1048576;
 
 /// Microseconds of the monotonic clock; 0: no stop was requested.
 std::atomic<std::int64_t> stop_requested_us = 0; // NOLINT: written by signal handlers
@@ -74,8 +69,7 @@
 
 int run_gateway(const wire_protocol& wire)
 {
-    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
-    ::mallopt(M_TRIM_THRESHOLD, kept_heap_bytes);
+    configure_allocator();
     install_signal_handlers();
     const auto settings = wire.read_settings();
     if (!settings) {
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -51,6 +51,10 @@
 /// A caller's connection may be replaced by a new one after this long without a request, when there are too
 /// many.
 constexpr duration min_idle_time = std::chrono::milliseconds(250);
+/// Between two looks at the process's resident memory.
+constexpr duration budget_update_period = std::chrono::milliseconds(50);
+/// Between two returns of free memory to the system.
+constexpr duration release_period = std::chrono::seconds(1);
 constexpr duration memory_retry = std::chrono::seconds(1);
 
 /// The most connections of callers: half of the free descriptors, because each open request takes another one
@@ -385,6 +389,7 @@
 void gateway_node::on_tick(instant now)
 {
     io::flush_log();
+    update_budget(now);
     log_engine_speeds(now);
     if (seen_store_era_) {
         apply_store_era(*seen_store_era_, now);
@@ -426,6 +431,24 @@
     metrics_server_.on_tick(now);
 }
 
+void gateway_node::update_budget(instant now)
+{
+    if (now < budget_due_) {
+        return;
+    }
+    budget_due_ = now + budget_update_period;
+    const std::size_t resident = resident_memory();
+    if (resident == 0) {
+        return;
+    }
+    const std::size_t other = resident - std::min(resident, budget_.allocated());
+    budget_.set_limit(budget_beside(memory_plan_, settings_.memory_bytes, other));
+    if (budget_.limit() < memory_plan_.budget && now >= release_due_) {
+        release_due_ = now + release_period;
+        release_free_memory();
+    }
+}
+
 void gateway_node::on_tick_delay(duration delay)
 {
     metrics_.on_tick_delay(delay);
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -66,6 +66,8 @@
     void request_arrived(caller_connection& from, http_request request) override;
     void request_malformed(int status) override;
     void connection_closed(caller_connection& closed) override;
+    /// Lets the budget follow what the process's tables and free memory leave of its memory.
+    void update_budget(instant now);
     /// False late in a stop, when a request might not end before the process does.
     [[nodiscard]] bool accepts_requests(instant now) const;
     /// Answers a request as not run because the memory is used up.
@@ -155,6 +157,8 @@
     std::map<service_id, double> logged_speeds_;
     instant speed_log_due_{};
     instant shares_due_{};
+    instant budget_due_{};
+    instant release_due_{};
     instant demand_due_{};
 
     std::unordered_map<relay::request_number, caller> callers_;
--- a/src/currantspar/gateway/gateway_node_responses.cpp
+++ b/src/currantspar/gateway/gateway_node_responses.cpp
@@ -153,11 +153,18 @@
 
 void gateway_node::enforce_buffer_limit()
 {
-    while (buffered_bytes_ > settings_.memory_bytes / buffer_divisor) {
+    const std::size_t most = settings_.memory_bytes / buffer_divisor;
+    // What the tables take is taken from the responses too; one alone may be larger than what is left.
+    const std::size_t most_together = std::min(most, budget_.limit() - budget_.limit() / buffer_divisor);
+    while (buffered_bytes_ > most_together) {
         const auto largest =
             std::max_element(attempts_.begin(), attempts_.end(), [](const auto& left, const auto& right) {
                 return left.second->buffered_bytes() < right.second->buffered_bytes();
             });
+        const bool is_alone = largest->second->buffered_bytes() == buffered_bytes_;
+        if (is_alone && buffered_bytes_ <= most) {
+            return;
+        }
         on_failed(*largest->second, true, "response is too large for the memory left");
     }
 }
--- a/src/currantspar/gateway/memory_budget.cpp
+++ b/src/currantspar/gateway/memory_budget.cpp
@@ -12,8 +12,15 @@
 } // namespace
 
 memory_budget::memory_budget(std::size_t limit)
-    : limit_(limit), large_limit_(limit - limit / small_requests_divisor)
-{}
+{
+    set_limit(limit);
+}
+
+void memory_budget::set_limit(std::size_t limit)
+{
+    limit_ = limit;
+    large_limit_ = limit - limit / small_requests_divisor;
+}
 
 memory_account::~memory_account()
 {
@@ -23,6 +30,10 @@
 
 void memory_account::set_allocated(std::size_t bytes)
 {
+    if (budget_ != nullptr) {
+        budget_->allocated_ += bytes;
+        budget_->allocated_ -= allocated_;
+    }
     allocated_ = bytes;
     update();
 }
--- a/src/currantspar/gateway/memory_budget_test.cpp
+++ b/src/currantspar/gateway/memory_budget_test.cpp
@@ -96,6 +96,21 @@
     BOOST_TEST(!budget.under_pressure());
 }
 
+BOOST_AUTO_TEST_CASE(the_limit_follows_what_is_left)
+{
+    memory_budget budget(1000);
+    memory_account one(&budget);
+    BOOST_TEST(one.reserve(700));
+    one.set_allocated(300);
+    BOOST_TEST(budget.allocated() == 300U);
+    budget.set_limit(600);
+    BOOST_TEST(budget.exceeded());
+    one.release_reservation();
+    BOOST_TEST(!budget.exceeded());
+    one.set_allocated(0);
+    BOOST_TEST(budget.allocated() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(without_a_budget_nothing_is_limited)
 {
     memory_account one(nullptr);
--- a/src/currantspar/gateway/memory_plan.cpp
+++ b/src/currantspar/gateway/memory_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include "currantspar/gateway/memory_budget.hpp"
@@ -20,6 +21,11 @@
 constexpr std::size_t slack_divisor = 16;
 /// Ordinary requests are served with this part of the memory even if the rest is used up.
 constexpr std::size_t min_budget_divisor = 16;
+/// Larger blocks, like bodies, go back to the system when they are freed. The C library would raise the
+/// threshold to the largest freed block, and later bodies would fragment the heap.
+constexpr int large_block_bytes = 131072;
+/// Free memory at the end of the heap that is kept.
+constexpr int kept_heap_bytes = 1048576;
 /// Less would split each message into many round trips, more isn't needed within a region.
 constexpr std::size_t min_receive_buffer = 8192;
 constexpr std::size_t max_receive_buffer = 131072;
@@ -55,10 +61,25 @@
 
 std::size_t resident_memory()
 {
+#ifdef __SANITIZE_ADDRESS__
+    return 0;
+#else
     std::size_t total_pages = 0;
     std::size_t resident_pages = 0;
     std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
     return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+#endif
+}
+
+void configure_allocator()
+{
+    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, kept_heap_bytes);
+}
+
+void release_free_memory()
+{
+    ::malloc_trim(0);
 }
 
 } // namespace currantspar::gateway
