Serve a body that is admitted alone where tables leave little

Found by reading the change again: a body that needs more than all large ones may take is admitted alone, but since the budget gives way to the tables it could exceed the budget by itself. Such a body now counts for no more than all large ones may take; small requests keep their quarter.

Beside it: the time in which a body held back couldn't be sent no longer counts against it.

--- a/include/currantspar/gateway/memory_budget.hpp
+++ b/include/currantspar/gateway/memory_budget.hpp
@@ -33,7 +33,9 @@
     [[nodiscard]] std::size_t allocated() const { return allocated_; }
     /// The bytes charged to all accounts.
     [[nodiscard]] std::size_t used() const { return used_; }
-    [[nodiscard]] bool exceeded() const { return used_ > limit_; }
+    /// True when more is charged than the limit. A body admitted alone counts for no more than all large ones
+    /// may take.
+    [[nodiscard]] bool exceeded() const;
     /// True when connections without a reservation take so much that none can be made for large bodies.
     [[nodiscard]] bool small_exceeded() const { return small_used() > limit_ - large_limit_; }
     /// True when bytes for large bodies are short, so that connections should take little beside them.
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -30,6 +30,8 @@
 constexpr double min_body_bytes_per_second = 1048576;
 /// While others wait for memory, other requests and output may make no progress for so long.
 constexpr duration max_stall = std::chrono::seconds(1);
+/// For callers that are refused because they waited for memory.
+constexpr std::chrono::seconds refusal_retry(1);
 /// A large body is held twice at its peak: in the request, and in the output to its server.
 constexpr std::size_t body_copies = 2;
 /// Memory of a connection without a request, about.
@@ -163,6 +165,8 @@
         waits_since_ = waited_since;
         return false;
     }
+    // The caller couldn't send meanwhile.
+    reserved_at_ += now - waited_since;
     resume_reading();
     read_request();
     update_memory();
@@ -317,7 +321,7 @@
     sink_.request_malformed(status);
     http_fields fields{{"Content-Length", "0"}, {"Connection", "close"}};
     if (status == status_unavailable) {
-        fields.push_back({"Retry-After", "1"});
+        fields.push_back({"Retry-After", std::to_string(refusal_retry.count())});
     }
     write(write_response_head(status, fields));
     closing_ = true;
--- a/src/currantspar/gateway/memory_budget.cpp
+++ b/src/currantspar/gateway/memory_budget.cpp
@@ -22,6 +22,12 @@
     large_limit_ = limit - limit / small_requests_divisor;
 }
 
+bool memory_budget::exceeded() const
+{
+    const std::size_t large = reservations_ == 1 ? std::min(large_used_, large_limit_) : large_used_;
+    return large > limit_ || small_used() > limit_ - large;
+}
+
 memory_account::~memory_account()
 {
     release_reservation();
