Bound what other nodes' connections to serve may take

Whoever reaches peer_address could end the process, or make the node deaf to its peers.

Cause: the library's server got each connection as it came; message_bytes_most was read by no code; an accept that failed ended the loop of accepts.

io/inbound_peers bounds connections, messages, the sum of unfinished messages and their time, and reads nothing while a response waits; accepting goes on after a failure.

--- a/include/currantspar/config/settings.hpp
+++ b/include/currantspar/config/settings.hpp
@@ -29,6 +29,7 @@
     log_format log_lines = log_format::key_value;
     std::uint64_t max_body_bytes = 8U << 20U;
     std::uint32_t max_connections = 4096;
+    std::uint32_t max_peer_connections = 1024;         ///< that other nodes have opened
     std::uint32_t timeline_entries = 65536;            ///< kept in memory
     duration balancer_drain = std::chrono::seconds(5); ///< how long the balancer may go on sending after
                                                        ///< readiness fails
--- a/include/currantspar/io/peer_network.hpp
+++ b/include/currantspar/io/peer_network.hpp
@@ -28,8 +28,12 @@
 {
     node_id self; ///< `IP:port`, where this node listens
     incarnation process;
-    std::size_t queued_most = 256;                   ///< messages that wait for one node
-    std::size_t message_bytes_most = 16U << 20U;     ///< larger ones end their connection
+    std::size_t queued_most = 256; ///< messages that wait for one node
+    std::size_t connections_most =
+        1024; ///< that other nodes have opened; a further one ends the one least used
+    std::size_t message_bytes_most = 16U << 20U; ///< larger ones end their connection
+    std::size_t unfinished_bytes_most =
+        32U << 20U; ///< announced by all unfinished messages above 64 KiB together
     duration answer_limit = std::chrono::seconds(2); ///< then the connection is dialled anew
     duration idle_most = std::chrono::seconds(30);   ///< an unused connection is closed
 };
--- a/src/currantspar/config/parse.cpp
+++ b/src/currantspar/config/parse.cpp
@@ -29,6 +29,7 @@
     reader.one_of("log_lines", settings.log_lines, {"key_value", "json"});
     reader.integer("max_body_bytes", settings.max_body_bytes, body_bytes);
     reader.integer("max_connections", settings.max_connections, connections);
+    reader.integer("max_peer_connections", settings.max_peer_connections, connections);
     reader.integer("timeline_entries", settings.timeline_entries, timeline_range);
     reader.time("balancer_drain", settings.balancer_drain, drain_range);
     reader.text("record_path", settings.record_path);
--- a/src/currantspar/gateway/caller_server.hpp
+++ b/src/currantspar/gateway/caller_server.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "currantspar/gateway/caller_connection.hpp"
+#include "currantspar/io/log_limiter.hpp"
 #include "listener.hpp"
-#include "log_limiter.hpp"
 
 namespace currantspar::gateway {
 
@@ -83,7 +83,7 @@
     std::map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::vector<std::unique_ptr<caller_connection>> closed_;
     std::uint64_t closed_for_resources_ = 0;
-    log_limiter closed_lines_;
+    io::log_limiter closed_lines_;
     bool nothing_stalled_ = false; ///< since the last tick: no connection is left whose memory could be freed
     bool freeing_ = false;
 };
--- a/src/currantspar/gateway/gateway_node.hpp
+++ b/src/currantspar/gateway/gateway_node.hpp
@@ -171,9 +171,9 @@
     instant stop_began_{};
     instant idle_check_due_{};
     std::uint64_t refused_for_memory_ = 0;
-    log_limiter malformed_lines_;
-    log_limiter invalid_lines_;
-    log_limiter memory_lines_;
+    io::log_limiter malformed_lines_;
+    io::log_limiter invalid_lines_;
+    io::log_limiter memory_lines_;
 };
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/listener.hpp
+++ b/src/currantspar/gateway/listener.hpp
@@ -9,7 +9,7 @@
 
 #include "currantspar/base/result.hpp"
 #include "currantspar/base/time.hpp"
-#include "log_limiter.hpp"
+#include "currantspar/io/log_limiter.hpp"
 
 namespace currantspar::gateway {
 
@@ -57,7 +57,7 @@
     room_check has_room_;
     std::size_t receive_buffer_;
     std::optional<instant> paused_until_;
-    log_limiter failure_lines_;
+    io::log_limiter failure_lines_;
 };
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/log_limiter.hpp
+++ b/src/currantspar/io/log_limiter.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSPAR_GATEWAY_LOG_LIMITER_HPP
-#define CURRANTSPAR_GATEWAY_LOG_LIMITER_HPP
+#ifndef CURRANTSPAR_IO_LOG_LIMITER_HPP
+#define CURRANTSPAR_IO_LOG_LIMITER_HPP
 
 #include <chrono>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "currantspar/base/time.hpp"
 
-namespace currantspar::gateway {
+namespace currantspar::io {
 
 /// Limits one kind of log line that a peer can cause to one a second. Not thread safe.
 class log_limiter
@@ -32,6 +32,6 @@
     std::optional<instant> last_line_;
 };
 
-} // namespace currantspar::gateway
+} // namespace currantspar::io
 
 #endif
--- a/src/currantspar/io/peer_network.cpp
+++ b/src/currantspar/io/peer_network.cpp
@@ -18,6 +18,7 @@
 
 #include "currantspar/io/address.hpp"
 #include "currantspar/io/clock.hpp"
+#include "inbound_peers.hpp"
 #include "peer_codec.hpp"
 
 namespace currantspar::io {
@@ -27,6 +28,9 @@
 constexpr int keepalive_idle_seconds = 5;
 constexpr int keepalive_interval_seconds = 2;
 
+/// Until the next accept after one that failed.
+constexpr kj::Duration accept_pause = 100 * kj::MILLISECONDS;
+
 kj::Duration to_kj(duration value)
 {
     return value.count() * kj::MICROSECONDS;
@@ -88,8 +92,11 @@
 {
 public:
     peer_loop(const peer_network_options& options, event_sink sink, kj::AsyncIoContext& io)
-        : options_(options), sink_(std::move(sink)), io_(io), server_(kj::heap<receiver>(sink_)),
-          tasks_(*this)
+        : options_(options), sink_(std::move(sink)), io_(io),
+          inbound_({options.connections_most, options.message_bytes_most, options.unfinished_bytes_most,
+                    options.answer_limit},
+                   io.provider->getTimer()),
+          server_(kj::heap<receiver>(sink_)), tasks_(*this)
     {}
 
     void listen(kj::Own<kj::ConnectionReceiver> listener)
@@ -116,11 +123,17 @@
 
     kj::Promise<void> accept()
     {
-        return listener_->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
-            keep_alive(*stream);
-            server_.accept(kj::mv(stream));
-            return accept();
-        });
+        // An accept that fails at once throws.
+        return kj::evalNow([this] { return listener_->accept(); })
+            .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+                keep_alive(*stream);
+                server_.accept(inbound_.admit(kj::mv(stream)));
+            })
+            .catch_([this](kj::Exception&&) {
+                // For lack of a descriptor, or the connection is gone already.
+                return io_.provider->getTimer().afterDelay(accept_pause);
+            })
+            .then([this] { return accept(); });
     }
 
     void pump(const node_id& node, link& to)
@@ -234,6 +247,7 @@
     const peer_network_options& options_;
     const event_sink sink_;
     kj::AsyncIoContext& io_;
+    inbound_peers inbound_; // outlives the connections of the server
     capnp::TwoPartyServer server_;
     kj::Own<kj::ConnectionReceiver> listener_;
     std::map<node_id, link> links_;
--- a/src/currantspar/io/peer_network_test.cpp
+++ b/src/currantspar/io/peer_network_test.cpp
@@ -1,10 +1,15 @@
 #include "currantspar/io/peer_network.hpp"
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <sys/resource.h>
 
+#include "currantspar/io/address.hpp"
 #include "test_socket.hpp"
 
 namespace currantspar::io {
@@ -27,10 +32,10 @@
     }
 
     /// The first `count` events, or fewer when they take too long.
-    std::vector<core::event_body> wait_for(std::size_t count)
+    std::vector<core::event_body> wait_for(std::size_t count, std::chrono::milliseconds limit = 10s)
     {
         std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, 10s, [&] { return events_.size() >= count; });
+        changed_.wait_for(lock, limit, [&] { return events_.size() >= count; });
         return events_;
     }
 
@@ -45,12 +50,62 @@
     return node_id("127.0.0.1:" + std::to_string(free_port()));
 }
 
+/// How many connections a network of these tests accepts.
+constexpr std::size_t few_connections = 16;
+
+std::uint16_t port_of(const node_id& node)
+{
+    return parse_address(node.str())->port;
+}
+
+/// True once the other side has ended the connection; waits for that.
+bool has_ended(raw_caller& caller, std::chrono::milliseconds limit)
+{
+    caller.read_all(limit);
+    return caller.closed();
+}
+
+/// Uses up the descriptors of this process but for the next one.
+class scarce_descriptors
+{
+public:
+    scarce_descriptors()
+    {
+        const int spare = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &before_) == 0);
+        rlimit few = before_;
+        few.rlim_cur = static_cast<rlim_t>(spare) + descriptors;
+        BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &few) == 0);
+        for (int next = 0; next >= 0;) {
+            next = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+            if (next >= 0) {
+                held_.push_back(next);
+            }
+        }
+        ::close(spare);
+    }
+    scarce_descriptors(const scarce_descriptors&) = delete;
+    scarce_descriptors& operator=(const scarce_descriptors&) = delete;
+    ~scarce_descriptors()
+    {
+        std::for_each(held_.begin(), held_.end(), ::close);
+        ::setrlimit(RLIMIT_NOFILE, &before_);
+    }
+
+private:
+    static constexpr rlim_t descriptors = 16; ///< beyond the highest one in use
+
+    rlimit before_{};
+    std::vector<int> held_;
+};
+
 std::unique_ptr<peer_network> open_network(const node_id& self, event_log& events)
 {
     peer_network_options options;
     options.self = self;
     options.process = incarnation(7);
     options.answer_limit = 300ms;
+    options.connections_most = few_connections;
     auto opened = make_capnp_peer_network(options, events.sink());
     BOOST_REQUIRE(opened.has_value());
     return std::move(*opened);
@@ -163,14 +218,106 @@
     const node_id b = free_node();
     const auto from = open_network(free_node(), at_a);
     const auto to = open_network(b, at_b);
-    const auto port = static_cast<std::uint16_t>(std::stoi(b.str().substr(b.str().find(':') + 1)));
-    raw_caller garbage(port);
+    raw_caller garbage(port_of(b));
     garbage.write("GET / HTTP/1.1\r\n\r\n" + std::string(4096, '\xff'));
     garbage.read_all(2s);
     from->send({b, 1, core::checkpoint_request{}});
     BOOST_TEST(at_b.wait_for(1).size() == 1U);
 }
 
+/// Guards against connections that take descriptors without bound.
+BOOST_AUTO_TEST_CASE(idle_connections_are_replaced_and_keep_no_peer_out)
+{
+    event_log at_a;
+    event_log at_b;
+    const node_id b = free_node();
+    const auto from = open_network(free_node(), at_a);
+    const auto to = open_network(b, at_b);
+    std::vector<std::unique_ptr<raw_caller>> idle;
+    for (int count = 0; count < 40; ++count) {
+        idle.push_back(std::make_unique<raw_caller>(port_of(b)));
+    }
+    from->send({b, 1, core::checkpoint_request{}});
+    BOOST_TEST(at_b.wait_for(1).size() == 1U);
+    std::size_t ended = 0;
+    for (const auto& each : idle) {
+        ended += has_ended(*each, 200ms) ? 1 : 0;
+    }
+    BOOST_TEST(ended >= idle.size() - few_connections);
+}
+
+/// Guards against connections that never say anything and displace nodes that do.
+BOOST_AUTO_TEST_CASE(a_peer_keeps_its_connection_beside_idle_ones)
+{
+    event_log at_a;
+    event_log at_b;
+    const node_id b = free_node();
+    const auto from = open_network(free_node(), at_a);
+    const auto to = open_network(b, at_b);
+    from->send({b, 1, core::checkpoint_request{}});
+    BOOST_TEST(at_b.wait_for(1).size() == 1U);
+    std::vector<std::unique_ptr<raw_caller>> idle;
+    for (int count = 0; count < 40; ++count) {
+        idle.push_back(std::make_unique<raw_caller>(port_of(b)));
+    }
+    BOOST_TEST(has_ended(*idle.front(), 2s));
+    from->send({b, 2, core::checkpoint_request{}});
+    BOOST_TEST(at_b.wait_for(2).size() == 2U);
+    BOOST_TEST(at_a.wait_for(1, 50ms).empty());
+}
+
+/// Guards against messages that are announced and never end, whose memory is allocated at once.
+BOOST_AUTO_TEST_CASE(a_message_over_the_limit_ends_its_connection)
+{
+    event_log at_b;
+    const node_id b = free_node();
+    const auto to = open_network(b, at_b);
+    raw_caller sender(port_of(b));
+    sender.write(std::string("\0\0\0\0\0\0\x30\0", 8) + std::string(1000, '\0')); // 25 MB announced
+    BOOST_TEST(has_ended(sender, 2s));
+}
+
+/// Guards against many unfinished messages, each within the limit.
+BOOST_AUTO_TEST_CASE(unfinished_messages_are_limited_together_and_in_time)
+{
+    event_log at_a;
+    event_log at_b;
+    const node_id b = free_node();
+    const auto from = open_network(free_node(), at_a);
+    const auto to = open_network(b, at_b);
+    raw_caller first(port_of(b));
+    raw_caller second(port_of(b));
+    raw_caller third(port_of(b));
+    const std::string unfinished =
+        std::string("\0\0\0\0\0\0\x1e\0", 8) + std::string(1000, '\0'); // of 15.7 MB
+    first.write(unfinished);
+    BOOST_TEST(!has_ended(first, 50ms));
+    second.write(unfinished);
+    third.write(unfinished);
+    BOOST_TEST(has_ended(third, 150ms));
+    from->send({b, 1, core::checkpoint_request{}});
+    BOOST_TEST(at_b.wait_for(1).size() == 1U);
+    BOOST_TEST(has_ended(first, 2s));
+}
+
+/// Guards against an address that accepts nothing any more once descriptors were used up for a moment.
+BOOST_AUTO_TEST_CASE(a_lack_of_descriptors_ends_nothing)
+{
+    event_log at_a;
+    event_log at_b;
+    const node_id b = free_node();
+    const auto from = open_network(free_node(), at_a);
+    const auto to = open_network(b, at_b);
+    {
+        const scarce_descriptors scarce;
+        const raw_caller caller(port_of(b));
+        BOOST_TEST(caller.connected());
+        std::this_thread::sleep_for(200ms);
+    }
+    from->send({b, 1, core::checkpoint_request{}});
+    BOOST_TEST(at_b.wait_for(1).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/currantspar/node/runtime.cpp
+++ b/src/currantspar/node/runtime.cpp
@@ -134,6 +134,7 @@
     io::peer_network_options peers;
     peers.self = state_.options.self;
     peers.process = state_.options.process;
+    peers.connections_most = settings_.max_peer_connections;
     auto opened_peers = io::make_capnp_peer_network(peers, sink_);
     if (!opened_peers) {
         return tl::unexpected<error>(opened_peers.error());
