--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -97,6 +97,11 @@
 
 private:
     /// True when received bytes wait to be parsed and no request is open.
+    /// A large body is held twice at its peak: in the request, and in the output to its server.
+    static constexpr std::size_t body_copies = 2;
+    /// Memory of a connection without a request, about.
+    static constexpr std::size_t connection_bytes = 2048;
+
     [[nodiscard]] bool has_unread_request() const;
     void read_request();
     /// Goes on with a body that isn't complete; false when it must wait for memory.
--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -65,8 +65,8 @@
     duration idle_margin = std::chrono::milliseconds(1200); ///< subtracted from a server's Keep-Alive timeout
     std::size_t max_idle_connections = 16;                  ///< per server
     reader_limits response_limits{65536, default_body_bytes};
-    std::size_t receive_buffer =
-        0; ///< bytes that the kernel may hold unread for each connection; 0: its default
+    /// Bytes that the kernel may hold unread for each connection; 0: its default.
+    std::size_t receive_buffer = 0;
     /// A connection that has carried as many requests is closed, because all their ids are kept.
     std::size_t max_requests_per_connection = 128;
     /// False for a peer that sends exactly one response to each request and names none, like the shared
