--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -54,9 +54,10 @@
 
     bool accept(ACE_SOCK_Stream& accepted) { return adopt(accepted); }
 
-    /// Sends a complete response. The fields that frame the body are added.
+    /// Sends a complete response. The fields that frame the body are added. A head that can't be written
+    /// becomes an error response.
     void respond(int status, const http_fields& fields, std::string_view body, bool close_after);
-    /// Sends the head of a response whose body follows in chunks.
+    /// Sends the head of a response whose body follows in chunks, or closes if it can't be written.
     void begin_response(int status, const http_fields& fields, bool close_after);
     void continue_response(std::string_view bytes);
     void end_response();
@@ -96,12 +97,12 @@
     [[nodiscard]] std::size_t read_limit() const override;
 
 private:
-    /// True when received bytes wait to be parsed and no request is open.
     /// A large body is held twice at its peak: in the request, and in the output to its server.
     static constexpr std::size_t body_copies = 2;
     /// Memory of a connection without a request, about.
     static constexpr std::size_t connection_bytes = 2048;
 
+    /// True when received bytes wait to be parsed and no request is open.
     [[nodiscard]] bool has_unread_request() const;
     void read_request();
     /// Goes on with a body that isn't complete; false when it must wait for memory.
@@ -132,7 +133,7 @@
     bool close_after_ = false;
     bool keep_alive_ = true;
     bool continue_sent_ = false;
-    bool closing_ = false; ///< close once all output is sent
+    bool closing_ = false;      ///< close once all output is sent
     bool parsing_ = false;
     bool requests_left_ = false; ///< one event has answered as many as it may
     instant since_{};            ///< start of the request being received, or of the idle time
--- a/include/currantspar/gateway/event_splitter.hpp
+++ b/include/currantspar/gateway/event_splitter.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "currantspar/base/wire_text.hpp"
+
 namespace currantspar::gateway {
 
 /// Splits a stream of server-sent events at event boundaries, so that only complete events are forwarded. The
@@ -14,8 +16,9 @@
 public:
     /// Adds bytes and returns all complete events received so far; an incomplete event stays buffered.
     [[nodiscard]] std::string push(std::string_view bytes);
-    /// The last id among the complete events; empty when none had an id.
-    [[nodiscard]] const std::string& last_id() const { return last_id_; }
+    /// The last id among the complete events, empty when none had an id; an error of kind `invalid` when no
+    /// server can be sent it.
+    [[nodiscard]] const result<event_id>& last_id() const { return last_id_; }
     /// True when no incomplete event is buffered.
     [[nodiscard]] bool at_event_end() const { return incomplete_.empty(); }
     /// The size of the incomplete event.
@@ -25,7 +28,7 @@
     void update_last_id(std::string_view events);
 
     std::string incomplete_;
-    std::string last_id_;
+    result<event_id> last_id_;
 };
 
 } // namespace currantspar::gateway
--- a/include/currantspar/gateway/http_message.hpp
+++ b/include/currantspar/gateway/http_message.hpp
@@ -1,10 +1,14 @@
 #ifndef CURRANTSPAR_GATEWAY_HTTP_MESSAGE_HPP
 #define CURRANTSPAR_GATEWAY_HTTP_MESSAGE_HPP
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "currantspar/base/result.hpp"
+
 namespace currantspar::gateway {
 
 struct http_field
@@ -43,14 +47,33 @@
     std::string body;
 };
 
+/// The head of a response that this process sends.
+struct response_head
+{
+    int status = 0;
+    http_fields fields;                    ///< hop-by-hop and framing fields among them are left out
+    std::optional<std::size_t> body_bytes; ///< nothing: the body is sent in chunks
+    bool closes_connection = false;
+};
+
+/// True for a final status whose responses have no body and say nothing of its length. Thread safe.
+[[nodiscard]] bool is_bodiless(int status);
+
+/// Returns an error of kind `invalid` when a field could end its line, add another field or isn't one at all.
+/// Thread safe.
+[[nodiscard]] result<void> check_fields(const http_fields& fields);
+
+// The only functions that write heads. Whatever they are given, they write one message or return an error of
+// kind `invalid`, which names the part that can't be written.
+
 /// Serializes a request with a Content-Length. Hop-by-hop and framing fields of `request` are left out.
 /// Thread safe.
-[[nodiscard]] std::string write_request(const http_request& request);
+[[nodiscard]] result<std::string> write_request(const http_request& request);
 /// The same with a body that isn't the request's own. Thread safe.
-[[nodiscard]] std::string write_request(const http_request& request, std::string_view body);
-/// Serializes a response head: status line with the standard reason phrase, `fields`, empty line. Thread
-/// safe.
-[[nodiscard]] std::string write_response_head(int status, const http_fields& fields);
+[[nodiscard]] result<std::string> write_request(const http_request& request, std::string_view body);
+/// Serializes the head of a final response: status line with the standard reason phrase, fields, framing and
+/// empty line. A status without a body takes none. Thread safe.
+[[nodiscard]] result<std::string> write_response_head(const response_head& head);
 /// Serializes one chunk of a chunked body. Precondition: `bytes` isn't empty. Thread safe.
 [[nodiscard]] std::string write_chunk(std::string_view bytes);
 
--- a/include/currantspar/gateway/wire_protocol.hpp
+++ b/include/currantspar/gateway/wire_protocol.hpp
@@ -118,7 +118,8 @@
 };
 
 /// The wire format of the gateway's requests, responses and store calls on one platform. An implementation
-/// only translates and makes no decisions. Thread safe.
+/// only translates and makes no decisions. A function that serializes a request returns an error of kind
+/// `invalid` when the request can't be written as one message. Thread safe.
 class wire_protocol
 {
 public:
@@ -137,33 +138,36 @@
     /// Decodes a caller's request; an error of kind `invalid` when a field can't be parsed.
     [[nodiscard]] virtual result<relay::request_info> decode_request(const http_request& request) const = 0;
     /// Serializes a caller's request for the server of `attempt`.
-    [[nodiscard]] virtual std::string encode_attempt(const http_request& request,
-                                                     const relay::start_attempt& attempt) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_attempt(const http_request& request,
+                                                             const relay::start_attempt& attempt) const = 0;
     [[nodiscard]] virtual relay::response_info decode_response(int status,
                                                                const http_fields& fields) const = 0;
-    /// Decodes the handle of the KV cache that a server computed and exported.
-    [[nodiscard]] virtual result<std::string> decode_kv_handle(std::string_view body) const = 0;
+    /// Decodes the handle of the KV cache that a server computed and exported; an error of kind `invalid`
+    /// when there is none, or one that other servers can't be sent.
+    [[nodiscard]] virtual result<kv_handle> decode_kv_handle(std::string_view body) const = 0;
     /// Serializes the request that makes a server free an exported KV cache.
-    [[nodiscard]] virtual std::string encode_free_kv_cache(const relay::free_kv_cache& kv_cache) const = 0;
+    [[nodiscard]] virtual result<std::string>
+    encode_free_kv_cache(const relay::free_kv_cache& kv_cache) const = 0;
     /// The header fields of an error response that the gateway itself makes.
     [[nodiscard]] virtual http_fields encode_reply(const relay::reply& response) const = 0;
 
     // The shared store.
 
-    [[nodiscard]] virtual std::string encode_listing(shared_topic topic,
-                                                     const std::string& after_key) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_listing(shared_topic topic,
+                                                             const std::string& after_key) const = 0;
     [[nodiscard]] virtual result<listing_page> decode_listing(const http_response& response) const = 0;
-    [[nodiscard]] virtual std::string encode_read(shared_topic topic, std::uint64_t from,
-                                                  duration wait) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_read(shared_topic topic, std::uint64_t from,
+                                                          duration wait) const = 0;
     [[nodiscard]] virtual result<record_batch> decode_read(const http_response& response,
                                                            std::uint64_t from) const = 0;
-    [[nodiscard]] virtual std::string encode_append(shared_topic topic, const std::string& key,
-                                                    const std::string& value) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_append(shared_topic topic, const std::string& key,
+                                                            const std::string& value) const = 0;
 
     /// Serializes an append that succeeds only if the topic ends at `end`.
-    [[nodiscard]] virtual std::string encode_conditional_append(shared_topic topic, const std::string& key,
-                                                                const std::string& value,
-                                                                std::uint64_t end) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_conditional_append(shared_topic topic,
+                                                                        const std::string& key,
+                                                                        const std::string& value,
+                                                                        std::uint64_t end) const = 0;
     /// Decodes the offset of an appended record; an error of kind `conflict` when its condition didn't hold.
     [[nodiscard]] virtual result<std::uint64_t> decode_append(const http_response& response) const = 0;
 
@@ -173,18 +177,18 @@
 
     // The cloud API.
 
-    [[nodiscard]] virtual std::string encode_usage(const relay::usage_report& report,
-                                                   const duty_holder& holder) const = 0;
-    [[nodiscard]] virtual std::string encode_capacity_order(const relay::capacity_order& order,
-                                                            const duty_holder& holder) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_usage(const relay::usage_report& report,
+                                                           const duty_holder& holder) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_capacity_order(const relay::capacity_order& order,
+                                                                    const duty_holder& holder) const = 0;
     [[nodiscard]] virtual relay::duty_outcome decode_duty_response(const http_response& response) const = 0;
 
     // The control interface of engines.
 
-    [[nodiscard]] virtual std::string encode_status(const relay::server_entry& engine) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_status(const relay::server_entry& engine) const = 0;
     [[nodiscard]] virtual result<engine_status> decode_status(const http_response& response) const = 0;
-    [[nodiscard]] virtual std::string encode_order(const relay::server_entry& engine,
-                                                   const role_order& order) const = 0;
+    [[nodiscard]] virtual result<std::string> encode_order(const relay::server_entry& engine,
+                                                           const role_order& order) const = 0;
     [[nodiscard]] virtual order_outcome decode_order(const http_response& response) const = 0;
 
     /// Decodes a record's configuration; null when the record holds something else.
--- a/include/currantspar/relay/model.hpp
+++ b/include/currantspar/relay/model.hpp
@@ -9,6 +9,7 @@
 
 #include "currantspar/base/ids.hpp"
 #include "currantspar/base/time.hpp"
+#include "currantspar/base/wire_text.hpp"
 #include "currantspar/config/fleet.hpp"
 
 namespace currantspar::relay {
@@ -105,6 +106,7 @@
     bool requires_keys = false;
     std::vector<organisation_spec> organisations;
     caller_limits limits;
+    std::vector<std::string> left_out; ///< parts of the document that can't be used, and why
 
     /// Returns the service with this name, or null. Thread safe.
     [[nodiscard]] const relayed_service* find_service(const service_id& id) const;
@@ -115,7 +117,7 @@
 {
     backend_id id;
     service_id service;
-    std::string address; ///< `IP:port`
+    server_address address;
     data_centre_id data_centre;
     std::uint32_t slots = 1;
     bool draining = false;
@@ -144,7 +146,7 @@
     std::uint32_t max_output = 0;
     std::uint32_t expected_output = 0;    ///< the caller's estimate; 0: none
     std::vector<prompt_segment> segments; ///< the last one is private to the request or its session
-    std::string resume_after; ///< id of the last event that the caller received; empty: stream from the start
+    event_id resume_after;    ///< the last event that the caller received; empty: stream from the start
     std::string api_key_hash; ///< SHA-256 of the caller's API key, in hexadecimal; empty: it sent none
 };
 
--- a/include/currantspar/relay/relay_core.hpp
+++ b/include/currantspar/relay/relay_core.hpp
@@ -133,12 +133,11 @@
     /// The head of a response to this request arrived, with what the server says of itself.
     [[nodiscard]] relay_effects on_response_head(attempt_id attempt, const response_info& head, instant now);
     /// A prompt was prefilled and its KV cache exported under `handle`.
-    [[nodiscard]] relay_effects on_prompt_prefilled(attempt_id attempt, const std::string& handle,
-                                                    instant now);
+    [[nodiscard]] relay_effects on_prompt_prefilled(attempt_id attempt, const kv_handle& handle, instant now);
     /// The head of a stream arrived.
     [[nodiscard]] relay_effects on_stream_head(attempt_id attempt, instant now);
-    /// Complete events of a stream arrived; `last_event` is the id of the last one.
-    [[nodiscard]] relay_effects on_events(attempt_id attempt, const std::string& last_event, instant now);
+    /// Complete events of a stream arrived; `last_event` is the id of the last one that has one.
+    [[nodiscard]] relay_effects on_events(attempt_id attempt, const event_id& last_event, instant now);
     /// Returns the times of a stream's first event if no events have arrived yet; call it before on_events.
     [[nodiscard]] std::optional<first_event_times> first_event(attempt_id attempt, instant now);
     /// Returns the organisation whose request an attempt executes; empty when none is known.
@@ -149,6 +148,9 @@
     [[nodiscard]] relay_effects on_response(attempt_id attempt, const response_info& response, instant now);
     [[nodiscard]] relay_effects on_failure(attempt_id attempt, attempt_failure how, const std::string& detail,
                                            instant now);
+    /// An attempt's request can't be written as one message. This says nothing about the server, and the
+    /// request ends, because it would be the same for another one.
+    [[nodiscard]] relay_effects on_not_encoded(attempt_id attempt, const std::string& detail, instant now);
 
     /// A probe that this object asked for has ended.
     [[nodiscard]] relay_effects on_probed(const backend_id& server, probe_result result, instant now);
@@ -185,12 +187,12 @@
         unsigned attempts_made = 0;       ///< attempts, including those that were not written
         bool prefill_requested = false;   ///< a prefill was requested before
         bool run_requested = false;       ///< an execution was requested before
-        std::string handle;               ///< KV handle at `placed.prefill_engine`; empty: none
+        kv_handle handle;                 ///< at `placed.prefill_engine`; empty: none
         bool kv_transfer_refused = false; ///< a decode engine refused the KV cache
         unsigned runs = 0;                ///< attempts that may have been executed
         bool may_have_run = false;
         bool streaming = false; ///< the caller received the head of a stream
-        std::string last_event;
+        event_id last_event;
         attempt_id current;
         attempt_id load_key; ///< under which engine_choice counts the request's load; 0: not counted
         attempt_stage stage = attempt_stage::full_request;
@@ -260,11 +262,11 @@
     void log_limit_changes(relay_effects& out);
     void log_statement_ends(relay_effects& out);
     void send(request_map::iterator it, const server_entry& server, attempt_stage stage,
-              const std::string& handle, const std::string& handle_address, instant now, relay_effects& out);
+              const kv_handle& handle, const server_address& handle_address, instant now, relay_effects& out);
     /// Sends a request whose KV cache was refused to another decode engine, since the first may have been
     /// full; false: there is none.
     bool retry_decode_elsewhere(request_map::iterator it, instant now, relay_effects& out);
-    void start_decode(request_map::iterator it, const std::string& handle, instant now, relay_effects& out);
+    void start_decode(request_map::iterator it, const kv_handle& handle, instant now, relay_effects& out);
     /// Returns the engine that decodes a prefilled request: the one that was chosen with the prefill engine,
     /// or another one if that has used up its limit since; null when there is none.
     [[nodiscard]] const server_entry* choose_decode_engine(const request& req, instant now) const;
--- a/include/currantspar/relay/relay_effect.hpp
+++ b/include/currantspar/relay/relay_effect.hpp
@@ -25,14 +25,15 @@
     request_number request;
     std::string request_id; ///< the caller's identifier of the request, echoed by the server
     bool stream = false;    ///< a successful response is an event stream
+    bool resumable = false; ///< the stream may go on at another server, from the id of its last event
     backend_id server;
-    std::string address;
+    server_address address;
     attempt_stage stage = attempt_stage::full_request;
-    std::string handle;         ///< with decode_only: KV handle at `handle_address`
-    std::string handle_address; ///< with decode_only
-    duration time_left{};       ///< until the caller's deadline
-    unsigned priority = 0;      ///< 0 is the highest
-    std::string resume_after; ///< id of the last event that the caller received; empty: stream from the start
+    kv_handle handle;               ///< with decode_only: at `handle_address`
+    server_address handle_address;  ///< with decode_only
+    duration time_left{};           ///< until the caller's deadline
+    unsigned priority = 0;          ///< 0 is the highest
+    event_id resume_after;          ///< the last event that the caller received; empty: stream from the start
     organisation_id organisation{}; ///< of the caller; empty: none is known
 };
 
@@ -82,15 +83,15 @@
 /// Free an exported KV cache that no decode engine will fetch.
 struct free_kv_cache
 {
-    std::string address; ///< of the engine that holds it
-    std::string handle;
+    server_address address; ///< of the engine that holds it
+    kv_handle handle;
 };
 
 /// Open a connection to a server and close it again; relay_core::on_probed gets the result.
 struct probe_server
 {
     backend_id server;
-    std::string address;
+    server_address address;
 };
 
 /// Log a decision about a request, or about a server if `request_id` is empty.
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 
 #include "currantspar/io/clock.hpp"
+#include "currantspar/io/log.hpp"
 
 namespace currantspar::gateway {
 
@@ -12,6 +13,7 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 /// Reading pauses while as many bytes of further requests wait for the end of the open one.
 constexpr std::size_t max_ahead_bytes = 65536;
@@ -43,6 +45,12 @@
     }
 }
 
+/// The node refuses responses with such heads before they get here, so this tells of a defect.
+void log_not_encoded(const error& problem)
+{
+    io::log_event(io::log_level::error, "response_not_encoded", {{"reason", problem.message}});
+}
+
 } // namespace
 
 caller_connection::caller_connection(ACE_Reactor& reactor, caller_sink& sink, reader_limits limits,
@@ -163,11 +171,11 @@
     waits_since_.reset();
     account_.release_reservation();
     sink_.request_malformed(status);
-    http_fields fields{{"Content-Length", "0"}, {"Connection", "close"}};
+    http_fields fields;
     if (status == status_unavailable) {
         fields.push_back({"Retry-After", std::to_string(refusal_retry.count())});
     }
-    write(write_response_head(status, fields));
+    write(*write_response_head({status, std::move(fields), 0, true}));
     closing_ = true;
     on_sent();
     update_memory();
@@ -177,29 +185,31 @@
                                 bool close_after)
 {
     close_after_ = close_after || !keep_alive_;
-    http_fields all = fields;
-    all.push_back({"Content-Length", std::to_string(body.size())});
-    if (close_after_) {
-        all.push_back({"Connection", "close"});
+    auto out = write_response_head({status, fields, body.size(), close_after_});
+    if (!out) {
+        log_not_encoded(out.error());
+        close_after_ = true;
+        out = write_response_head({status_bad_gateway, {}, 0, true});
+        body = {};
     }
-    std::string out = write_response_head(status, all);
-    out.reserve(out.size() + body.size());
-    out.append(body);
+    out->reserve(out->size() + body.size());
+    out->append(body);
     response_begun_ = true;
-    write_owned(std::move(out));
+    write_owned(std::move(*out));
     on_response_finished();
 }
 
 void caller_connection::begin_response(int status, const http_fields& fields, bool close_after)
 {
     close_after_ = close_after || !keep_alive_;
-    http_fields all = fields;
-    all.push_back({"Transfer-Encoding", "chunked"});
-    if (close_after_) {
-        all.push_back({"Connection", "close"});
-    }
     response_begun_ = true;
-    write(write_response_head(status, all));
+    const auto head = write_response_head({status, fields, std::nullopt, close_after_});
+    if (!head) {
+        log_not_encoded(head.error());
+        abort("its response can't be written");
+        return;
+    }
+    write(*head);
 }
 
 void caller_connection::continue_response(std::string_view bytes)
--- a/src/currantspar/gateway/duty_controller.cpp
+++ b/src/currantspar/gateway/duty_controller.cpp
@@ -66,10 +66,10 @@
     {}
     ~api_call() override { owner_.pool_.cancel(exchange_); }
 
-    void start(const std::string& request, instant deadline, instant now)
+    void start(std::string request, instant deadline, instant now)
     {
         deadline_ = deadline;
-        exchange_ = owner_.pool_.start(owner_.settings_.address, {request, {}}, *this, now);
+        exchange_ = owner_.pool_.start(owner_.settings_.address, {std::move(request), {}}, *this, now);
     }
     void on_tick(instant now)
     {
@@ -208,11 +208,11 @@
     }
 }
 
-void duty_controller::call_store(const std::string& request, unary_calls::response_handler done)
+void duty_controller::call_store(result<std::string> request, unary_calls::response_handler done)
 {
     busy_ = true;
     calls_.start(
-        pool_, store_address_, request, options_.store_timeout,
+        pool_, store_address_, std::move(request), options_.store_timeout,
         [this, done = std::move(done)](const http_response* response) {
             busy_ = false;
             done(response);
@@ -377,12 +377,18 @@
             return wire_.encode_capacity_order(each, holder);
         }
     };
-    const std::string request = std::visit(encode, requested);
-    busy_ = true;
+    auto request = std::visit(encode, requested);
     step_due_ = clock + from_seconds(call_rate_margin / std::max(settings_.calls_per_second, 0.1));
+    if (!request) {
+        io::log_event(io::log_level::error, "call_not_encoded",
+                      {{"address", settings_.address}, {"reason", request.error().message}});
+        of.on_called(requested, relay::duty_outcome::unavailable, clock);
+        return;
+    }
+    busy_ = true;
     call_ = std::make_unique<api_call>(*this, of, requested, *token);
     const instant now = io::monotonic_now();
-    call_->start(request, now + options_.call_timeout, now);
+    call_->start(std::move(*request), now + options_.call_timeout, now);
 }
 
 void duty_controller::on_call_ended(const http_response* response, bool written)
--- a/src/currantspar/gateway/duty_controller.hpp
+++ b/src/currantspar/gateway/duty_controller.hpp
@@ -76,7 +76,7 @@
     void on_call_ended(const http_response* response, bool written);
     void finish_call(relay::duty_outcome outcome, instant now);
     void check_holder(instant now);
-    void call_store(const std::string& request, unary_calls::response_handler done);
+    void call_store(result<std::string> request, unary_calls::response_handler done);
 
     server_pool& pool_;
     const wire_protocol& wire_;
--- a/src/currantspar/gateway/duty_controller_test.cpp
+++ b/src/currantspar/gateway/duty_controller_test.cpp
@@ -158,7 +158,7 @@
 class duty_protocol : public test::fake_protocol
 {
 public:
-    std::string encode_listing(shared_topic, const std::string&) const override
+    result<std::string> encode_listing(shared_topic, const std::string&) const override
     {
         return write_request({"GET", "/list", {{"Host", "store"}}, {}});
     }
@@ -178,8 +178,8 @@
         }
         return page;
     }
-    std::string encode_conditional_append(shared_topic, const std::string& key, const std::string& value,
-                                          std::uint64_t end) const override
+    result<std::string> encode_conditional_append(shared_topic, const std::string& key,
+                                                  const std::string& value, std::uint64_t end) const override
     {
         return write_request(
             {"POST", "/append", {{"Host", "store"}}, std::to_string(end) + " " + key + " " + value});
@@ -194,12 +194,13 @@
         }
         return std::stoull(response.body);
     }
-    std::string encode_usage(const relay::usage_report& report, const duty_holder& holder) const override
+    result<std::string> encode_usage(const relay::usage_report& report,
+                                     const duty_holder& holder) const override
     {
         return encode_call(std::to_string(report.window), holder);
     }
-    std::string encode_capacity_order(const relay::capacity_order& order,
-                                      const duty_holder& holder) const override
+    result<std::string> encode_capacity_order(const relay::capacity_order& order,
+                                              const duty_holder& holder) const override
     {
         return encode_call(order.service.str(), holder);
     }
@@ -211,7 +212,7 @@
     }
 
 private:
-    static std::string encode_call(const std::string& window, const duty_holder& holder)
+    static result<std::string> encode_call(const std::string& window, const duty_holder& holder)
     {
         return write_request({"POST",
                               "/call",
--- a/src/currantspar/gateway/event_splitter.cpp
+++ b/src/currantspar/gateway/event_splitter.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::string_view id_field = "id:";
+/// A line of an event ends with either or both.
+constexpr std::string_view line_ends = "\r\n";
+/// The receiver of a header field drops them at its value's ends.
+constexpr std::string_view blanks = " \t";
 
 constexpr std::string_view blank_line = "\n\n";
 constexpr std::string_view blank_line_with_returns = "\r\n\r\n";
@@ -49,20 +53,16 @@
 void event_splitter::update_last_id(std::string_view events)
 {
     while (!events.empty()) {
-        const std::size_t end = std::min(events.find('\n'), events.size());
+        const std::size_t end = std::min(events.find_first_of(line_ends), events.size());
         std::string_view line = events.substr(0, end);
         events.remove_prefix(std::min(end + 1, events.size()));
         if (!line.starts_with(id_field)) {
             continue;
         }
         line.remove_prefix(id_field.size());
-        while (!line.empty() && line.front() == ' ') {
-            line.remove_prefix(1);
-        }
-        while (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        last_id_.assign(line);
+        line.remove_prefix(std::min(line.find_first_not_of(blanks), line.size()));
+        line.remove_suffix(line.size() - (line.find_last_not_of(blanks) + 1));
+        last_id_ = line.empty() ? event_id() : event_id::parse(std::string(line));
     }
 }
 
--- a/src/currantspar/gateway/framing_test.cpp
+++ b/src/currantspar/gateway/framing_test.cpp
@@ -170,7 +170,7 @@
         const http_request request = reader.take();
         BOOST_TEST(request.body == inner, fields);
         // What is forwarded reads back as what was parsed.
-        std::string forwarded = write_request(request);
+        std::string forwarded = write_request(request).value();
         request_reader next({});
         BOOST_TEST((next.read(forwarded) == read_progress::complete), fields);
         BOOST_TEST(forwarded.empty());
@@ -205,6 +205,44 @@
     }
 }
 
+/// Guards against values that end their line in a head, or add a field to it: one peer's bytes became another
+/// message (review/7).
+BOOST_AUTO_TEST_CASE(a_head_that_would_be_more_than_one_message_is_an_error)
+{
+    const std::string unsound[] = {"a\r\nX: y", "a\nb", "a\rb", std::string("a\0b", 3), "a\x01", "a\x7f"};
+    for (const std::string& text : unsound) {
+        BOOST_TEST(!write_request({"GET", "/", {{"Host", text}}, {}}).has_value());
+        BOOST_TEST(!write_request({"GET", "/", {{text, "a"}}, {}}).has_value());
+        BOOST_TEST(!write_request({"GET", "/" + text, {}, {}}).has_value());
+        BOOST_TEST(!write_request({text, "/", {}, {}}).has_value());
+        BOOST_TEST(!write_response_head({200, {{"X", text}}, 0}).has_value());
+        BOOST_TEST(!write_response_head({200, {{text, "a"}}, 0}).has_value());
+    }
+    for (const char* name : {"", "A B", "A:", "Transfer-Encoding ", "\xc3\xbc"}) {
+        BOOST_TEST(!write_request({"GET", "/", {{name, "a"}}, {}}).has_value(), name);
+    }
+    for (const char* target : {"", "/a b", "/a\t"}) {
+        BOOST_TEST(!write_request({"GET", target, {}, {}}).has_value(), target);
+    }
+    BOOST_TEST(write_request({"GET", "/a?b#c%20\xc3\xbc", {{"X", "a\tb \xff"}}, {}}).has_value());
+}
+
+/// Guards against a head whose framing says something else than what follows it.
+BOOST_AUTO_TEST_CASE(a_response_head_has_the_one_framing_of_its_body)
+{
+    const http_fields own = {{"Content-Length", "9"}, {"Transfer-Encoding", "chunked"}, {"X", "y"}};
+    BOOST_TEST(write_response_head({200, own, 4}).value() ==
+               "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\n");
+    BOOST_TEST(write_response_head({200, own, std::nullopt, true}).value() ==
+               "HTTP/1.1 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(write_response_head({204, own, 0}).value() == "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n");
+    BOOST_TEST(!write_response_head({204, {}, 1}).has_value());
+    BOOST_TEST(!write_response_head({304, {}, std::nullopt}).has_value());
+    for (const int status : {0, 100, 199, 600, -1}) {
+        BOOST_TEST(!write_response_head({status, {}, 0}).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/gateway_attempt.hpp
+++ b/src/currantspar/gateway/gateway_attempt.hpp
@@ -15,7 +15,7 @@
 public:
     attempt(gateway_node& node, const relay::start_attempt& effect)
         : node_(node), number(effect.attempt), request(effect.request), stage(effect.stage),
-          request_id(effect.request_id), expects_stream(effect.stream)
+          request_id(effect.request_id), expects_stream(effect.stream), resumable(effect.resumable)
     {}
 
     void connection_kept(std::size_t earlier_requests) override { earlier_requests_ = earlier_requests; }
@@ -55,6 +55,7 @@
     relay::attempt_stage stage;
     std::string request_id;
     bool expects_stream;
+    bool resumable; ///< the stream may go on at another server
     bool streaming = false;
     bool usage_counted = false; ///< its run counts in the usage of its organisation
     exchange_id exchange = 0;
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -274,8 +274,13 @@
     auto created = std::make_unique<attempt>(*this, effect);
     attempt& added = *created;
     attempts_.emplace(effect.attempt, std::move(created));
-    added.exchange = servers_.start(
-        effect.address, {wire_.encode_attempt(from->request, effect), effect.request_id}, added, now);
+    auto encoded = wire_.encode_attempt(from->request, effect);
+    if (!encoded) {
+        run(core_.on_not_encoded(effect.attempt, encoded.error().message, now), now);
+        return;
+    }
+    added.exchange =
+        servers_.start(effect.address.str(), {std::move(*encoded), effect.request_id}, added, now);
 }
 
 void gateway_node::apply(const relay::cancel_attempt& effect, instant)
@@ -333,8 +338,8 @@
 {
     // An exported KV cache that isn't freed expires by itself, so the response is only logged.
     calls_.start(
-        servers_, effect.address, wire_.encode_free_kv_cache(effect), call_timeout,
-        [address = effect.address](const http_response* response) {
+        servers_, effect.address.str(), wire_.encode_free_kv_cache(effect), call_timeout,
+        [address = effect.address.str()](const http_response* response) {
             io::log_event(io::log_level::info, "prompt_freed",
                           {{"address", address},
                            {"status", response == nullptr ? "none" : std::to_string(response->status)}});
@@ -345,7 +350,7 @@
 void gateway_node::apply(const relay::probe_server& effect, instant now)
 {
     probes_.start(
-        effect.address,
+        effect.address.str(),
         [this, server = effect.server](relay::probe_result result) {
             const instant ended_at = io::monotonic_now();
             run(core_.on_probed(server, result, ended_at), ended_at);
--- a/src/currantspar/gateway/gateway_node_responses.cpp
+++ b/src/currantspar/gateway/gateway_node_responses.cpp
@@ -63,6 +63,9 @@
     if (is_ambiguous()) {
         return "response without an id on a kept connection";
     }
+    if (const auto checked = check_fields(fields); !checked) {
+        return checked.error().message;
+    }
     const bool is_success = decoded.status < first_non_success_status;
     if (stage != relay::attempt_stage::prefill_only && is_success && !decoded.not_run &&
         !is_verified_success()) {
@@ -133,6 +136,11 @@
         enforce_buffer_limit();
         return;
     }
+    const result<event_id>& last_event = from.events.last_id();
+    if (from.resumable && !last_event) {
+        on_failed(from, true, last_event.error().message);
+        return;
+    }
     if (const caller* to = find_caller(from.request); to != nullptr) {
         to->connection->continue_response(complete_events);
     }
@@ -141,7 +149,7 @@
     if (const auto first = core_.first_event(from.number, now)) {
         metrics_.on_first_event(first->measured, first->predicted);
     }
-    run(core_.on_events(from.number, from.events.last_id(), now), now);
+    run(core_.on_events(from.number, last_event.value_or(event_id()), now), now);
 }
 
 void gateway_node::count_buffered(attempt& from, std::size_t bytes)
@@ -191,7 +199,9 @@
         effects = decoded.status == status_ok && handle
                       ? core_.on_prompt_prefilled(number, *handle, now)
                       : core_.on_failure(number, relay::attempt_failure::lost,
-                                         "prefill failed: " + from.describe_response(), now);
+                                         "prefill failed: " + from.describe_response() +
+                                             (handle ? "" : ", " + handle.error().message),
+                                         now);
     } else if (promises_not_run(decoded.status)) {
         effects = core_.on_failure(number, relay::attempt_failure::lost,
                                    "unverified " + from.describe_response(), now);
--- a/src/currantspar/gateway/gateway_node_test.cpp
+++ b/src/currantspar/gateway/gateway_node_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_node.hpp"
 
 namespace currantspar::gateway {
@@ -275,7 +276,7 @@
         relay::server_entry engine;
         engine.id = backend_id("engine-" + std::to_string(index));
         engine.service = service.id;
-        engine.address = "127.0.0.1:9";
+        engine.address = test_address("127.0.0.1:9");
         engine.slots = 6;
         engine.role = config::engine_role::decode;
         wire.servers.push_back(engine);
--- a/src/currantspar/gateway/http_message.cpp
+++ b/src/currantspar/gateway/http_message.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include "currantspar/base/wire_text.hpp"
+
 namespace currantspar::gateway {
 
 namespace {
@@ -17,6 +19,11 @@
     "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",  "Content-Length",
     "Expect"};
 
+constexpr int first_final_status = 200;
+constexpr int last_final_status = 599;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
 std::string_view trimmed(std::string_view text)
@@ -35,8 +42,53 @@
     out.append(name).append(": ").append(value).append("\r\n");
 }
 
+/// Appends all fields but those that belong to one connection or frame the body.
+void append_fields(std::string& out, const http_fields& fields)
+{
+    for (const http_field& field : fields) {
+        if (!is_connection_field(field.name)) {
+            append_field(out, field.name, field.value);
+        }
+    }
+}
+
+tl::unexpected<error> refuse(std::string_view part, std::string_view text)
+{
+    return fail(error_kind::invalid, std::string(part) + " can't be written: " + escaped_excerpt(text));
+}
+
+result<void> check_framing(const response_head& head)
+{
+    if (head.status < first_final_status || head.status > last_final_status) {
+        return refuse("status", std::to_string(head.status));
+    }
+    if (is_bodiless(head.status) && head.body_bytes != 0U) {
+        return refuse("body of a response without one, status", std::to_string(head.status));
+    }
+    return {};
+}
+
 } // namespace
 
+bool is_bodiless(int status)
+{
+    return status == status_no_content || status == status_not_modified;
+}
+
+result<void> check_fields(const http_fields& fields)
+{
+    for (const http_field& field : fields) {
+        if (!is_http_token(field.name)) {
+            return refuse("field name", field.name);
+        }
+        if (!is_field_value(field.value)) {
+            // The value isn't quoted, because it may be a caller's secret.
+            return fail(error_kind::invalid, "value of " + field.name + " can't be written");
+        }
+    }
+    return {};
+}
+
 bool promises_not_run(int status)
 {
     return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) != not_run_statuses.end();
@@ -79,21 +131,26 @@
                        [&](std::string_view known) { return same_name(known, name); });
 }
 
-std::string write_request(const http_request& request)
+result<std::string> write_request(const http_request& request)
 {
     return write_request(request, request.body);
 }
 
-std::string write_request(const http_request& request, std::string_view body)
+result<std::string> write_request(const http_request& request, std::string_view body)
 {
+    if (!is_http_token(request.method)) {
+        return refuse("method", request.method);
+    }
+    if (!is_request_target(request.target)) {
+        return refuse("request target", request.target);
+    }
+    if (const auto checked = check_fields(request.fields); !checked) {
+        return tl::unexpected(checked.error());
+    }
     std::string out;
     out.reserve(512);
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    for (const http_field& field : request.fields) {
-        if (!is_connection_field(field.name)) {
-            append_field(out, field.name, field.value);
-        }
-    }
+    append_fields(out, request.fields);
     if (!body.empty() || request.method == "POST" || request.method == "PUT") {
         append_field(out, "Content-Length", std::to_string(body.size()));
     }
@@ -103,18 +160,32 @@
     return out;
 }
 
-std::string write_response_head(int status, const http_fields& fields)
+result<std::string> write_response_head(const response_head& head)
 {
+    if (const auto checked = check_framing(head); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    if (const auto checked = check_fields(head.fields); !checked) {
+        return tl::unexpected(checked.error());
+    }
     std::string out;
     out.reserve(512);
-    const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
-    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size());
-    out.append("\r\n");
-    for (const http_field& field : fields) {
-        append_field(out, field.name, field.value);
+    const auto reason =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(head.status));
+    out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
+    out.append(reason.data(), reason.size()).append("\r\n");
+    append_fields(out, head.fields);
+    if (is_bodiless(head.status)) {
+        // Its end is that of the head.
+    } else if (!head.body_bytes) {
+        append_field(out, "Transfer-Encoding", "chunked");
+    } else {
+        append_field(out, "Content-Length", std::to_string(*head.body_bytes));
     }
-    out.append("\r\n");
-    return out;
+    if (head.closes_connection) {
+        append_field(out, "Connection", "close");
+    }
+    return out.append("\r\n");
 }
 
 std::string write_chunk(std::string_view bytes)
--- a/src/currantspar/gateway/invalid_response_test.cpp
+++ b/src/currantspar/gateway/invalid_response_test.cpp
@@ -76,7 +76,7 @@
     explicit blocked_upload(std::size_t bytes = 16777216)
     {
         pool.start(peer.address(),
-                   {write_request({"POST", "/", {{"Id", "a"}}, std::string(bytes, 'u')}), "a"}, sink,
+                   {write_request({"POST", "/", {{"Id", "a"}}, std::string(bytes, 'u')}).value(), "a"}, sink,
                    io::monotonic_now());
         peer.accept();
         run(10);
--- a/src/currantspar/gateway/load_digest.cpp
+++ b/src/currantspar/gateway/load_digest.cpp
@@ -36,7 +36,7 @@
     }
     const relay::server_entry& entry = *change.entry;
     out.setService(entry.service.str());
-    out.setAddress(entry.address);
+    out.setAddress(entry.address.str());
     out.setDataCentre(entry.data_centre.str());
     out.setSlots(entry.slots);
     out.setDraining(entry.draining);
@@ -45,19 +45,49 @@
     out.setReclaimable(entry.reclaimable);
 }
 
+/// Decodes a name that goes on to servers, the shared store or the log.
+template <typename Name>
+Name read_name(capnp::Text::Reader in)
+{
+    auto name = parse_name<Name>(std::string(in.begin(), in.end()));
+    KJ_REQUIRE(name.has_value(), name.error().message);
+    return std::move(*name);
+}
+
+/// The same where there may be none.
+template <typename Name>
+Name read_optional_name(capnp::Text::Reader in)
+{
+    return in.size() == 0 ? Name() : read_name<Name>(in);
+}
+
+backend_id read_server_id(capnp::Text::Reader in)
+{
+    auto id = parse_server_id(std::string(in.begin(), in.end()));
+    KJ_REQUIRE(id.has_value(), id.error().message);
+    return std::move(*id);
+}
+
+server_address read_address(capnp::Text::Reader in)
+{
+    auto address = server_address::parse(std::string(in.begin(), in.end()));
+    KJ_REQUIRE(address.has_value(), address.error().message);
+    return std::move(*address);
+}
+
 relay::directory_change read_change(wire::ServerChange::Reader in)
 {
     relay::directory_change change;
     change.offset = in.getOffset();
-    change.id = backend_id(in.getId().cStr());
+    change.id = read_server_id(in.getId());
     if (in.getRemoved()) {
         return change;
     }
     relay::server_entry entry;
     entry.id = change.id;
-    entry.service = service_id(in.getService().cStr());
-    entry.address = in.getAddress().cStr();
-    entry.data_centre = data_centre_id(in.getDataCentre().cStr());
+    entry.service = read_optional_name<service_id>(in.getService());
+    entry.address = read_address(in.getAddress());
+    entry.data_centre = read_optional_name<data_centre_id>(in.getDataCentre());
     entry.slots = in.getSlots();
     entry.draining = in.getDraining();
     const unsigned role = in.getRole();
@@ -185,7 +215,7 @@
     for (const auto in : root.getLimits()) {
         const double per_second = in.getPerSecond();
         const bool is_limited = std::isfinite(per_second) && per_second >= 0;
-        limits.push_back({backend_id(in.getServer().cStr()), in.getStarted(),
+        limits.push_back({read_server_id(in.getServer()), in.getStarted(),
                           is_limited ? std::optional(per_second) : std::nullopt,
                           std::chrono::milliseconds(in.getAgeMs())});
     }
@@ -198,8 +228,8 @@
     relay::quarantine_report report;
     for (const auto in : root.getLost()) {
         relay::lost_request lost{
-            in.getRequest().cStr(),          backend_id(in.getEngine().cStr()), in.getEngineStarted(),
-            milliseconds(in.getSentAgeMs()), milliseconds(in.getCrashAgeMs()),  {}};
+            in.getRequest().cStr(),          read_server_id(in.getEngine()),   in.getEngineStarted(),
+            milliseconds(in.getSentAgeMs()), milliseconds(in.getCrashAgeMs()), {}};
         for (const std::uint64_t segment : in.getSegments()) {
             lost.segments.push_back(segment);
         }
@@ -235,11 +265,11 @@
 {
     for (const auto in : root.getUsage()) {
         digest.usage.push_back(
-            {in.getWindow(), organisation_id(in.getOrganisation().cStr()), in.getRequests()});
+            {in.getWindow(), read_name<organisation_id>(in.getOrganisation()), in.getRequests()});
     }
     for (const auto in : root.getDemand()) {
         if (std::isfinite(in.getWork()) && in.getWork() >= 0) {
-            digest.demand_ms[service_id(in.getService().cStr())] = in.getWork();
+            digest.demand_ms[read_optional_name<service_id>(in.getService())] = in.getWork();
         }
     }
 }
@@ -354,7 +384,7 @@
         digest.incarnation = root.getIncarnation();
         digest.full = root.getWhole();
         digest.configuration = root.getConfiguration();
-        digest.data_centre = data_centre_id(root.getDataCentre().cStr());
+        digest.data_centre = read_optional_name<data_centre_id>(root.getDataCentre());
         for (const auto entry : root.getEngines()) {
             digest.engines[entry.getEngine()] = {static_cast<double>(entry.getReadMs()),
                                                  static_cast<std::int32_t>(entry.getRunning()),
@@ -364,7 +394,8 @@
             digest.segments.push_back({segment.getEngine(), segment.getPart()});
         }
         for (const auto entry : root.getSpeeds()) {
-            digest.speeds[service_id(entry.getService().cStr())] = {entry.getLogFactor(), entry.getWeight()};
+            digest.speeds[read_optional_name<service_id>(entry.getService())] = {entry.getLogFactor(),
+                                                                                 entry.getWeight()};
         }
         digest.quarantine = read_quarantine(root);
         digest.limits = read_limits(root);
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/gateway/event_splitter.hpp"
 #include "currantspar/gateway/peer_link.hpp"
 
@@ -190,13 +191,33 @@
     event_splitter events;
     BOOST_TEST(events.push("id: 1\nda").empty());
     BOOST_TEST(events.push("ta: x\n\nid: 2\n") == "id: 1\ndata: x\n\n");
-    BOOST_TEST(events.last_id() == "1");
+    BOOST_TEST(events.last_id()->str() == "1");
     BOOST_TEST(!events.at_event_end());
     BOOST_TEST(events.push("data: y\n\n") == "id: 2\ndata: y\n\n");
-    BOOST_TEST(events.last_id() == "2");
+    BOOST_TEST(events.last_id()->str() == "2");
     BOOST_TEST(events.at_event_end());
 }
 
+/// Guards against event ids that end a line of the request that resumes their stream, and against sound ones
+/// that are changed.
+BOOST_AUTO_TEST_CASE(the_last_id_is_one_that_a_server_can_be_sent)
+{
+    const auto last_id = [](const std::string& line) {
+        event_splitter events;
+        static_cast<void>(events.push("id: 1\ndata: x\n\n" + line + "\ndata: y\n\n"));
+        return events.last_id();
+    };
+    BOOST_TEST(last_id("id: 2")->str() == "2");
+    BOOST_TEST(last_id("id:a b/\xc3\xbc \r")->str() == "a b/\xc3\xbc");
+    BOOST_TEST(last_id("id: 2\rretry: 5")->str() == "2");
+    BOOST_TEST(last_id("data: no id")->str() == "1");
+    BOOST_TEST(last_id("id:")->empty());
+    BOOST_TEST(!last_id(std::string("id: a\0b", 7)).has_value());
+    BOOST_TEST(!last_id("id: a\x1b[2J").has_value());
+    BOOST_TEST(!last_id("id: a\tb").has_value());
+    BOOST_TEST(!last_id("id: " + std::string(100000, '1')).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(fields_are_found_whatever_their_case)
 {
     const http_fields fields = {{"Keep-Alive", "timeout=5"}, {"connection", "close, X-A"}};
@@ -223,7 +244,7 @@
     relay::server_entry engine;
     engine.id = backend_id("e1");
     engine.service = service_id("llm");
-    engine.address = "10.0.0.9:80";
+    engine.address = test_address("10.0.0.9:80");
     engine.data_centre = data_centre_id("b");
     engine.slots = 64;
     engine.draining = true;
--- a/src/currantspar/gateway/peer_link_test.cpp
+++ b/src/currantspar/gateway/peer_link_test.cpp
@@ -5,6 +5,7 @@
 #include <ace/Reactor.h>
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/gateway/peer_link.hpp"
 #include "currantspar/io/clock.hpp"
 #include "test_peer.hpp"
@@ -154,7 +155,7 @@
         relay::server_entry entry;
         entry.id = sending_link::engine(index);
         entry.service = service_id(std::string(60, 's'));
-        entry.address = "100.100.100.100:12345";
+        entry.address = test_address("100.100.100.100:12345");
         entry.data_centre = data_centre_id(std::string(60, 'd'));
         entry.started_ms = 1234567890123;
         update.changes.push_back({first + 10 + 3 * index, entry.id, entry});
--- a/src/currantspar/gateway/role_controller.cpp
+++ b/src/currantspar/gateway/role_controller.cpp
@@ -23,10 +23,10 @@
       store_address_(std::move(store_address)), options_(options)
 {}
 
-void role_controller::start(server_pool& pool, const std::string& address, const std::string& request,
+void role_controller::start(server_pool& pool, const std::string& address, result<std::string> request,
                             duration timeout, unary_calls::response_handler done)
 {
-    calls_.start(pool, address, request, timeout, std::move(done), io::monotonic_now());
+    calls_.start(pool, address, std::move(request), timeout, std::move(done), io::monotonic_now());
 }
 
 void role_controller::on_tick(std::size_t rank, instant now)
@@ -148,7 +148,7 @@
     }
     changing_[requested.engine] = {requested.role, io::monotonic_now() + options_.change_time};
     const relay::server_entry entry = *engine;
-    start(servers_, entry.address, wire_.encode_status(entry), options_.order_timeout,
+    start(servers_, entry.address.str(), wire_.encode_status(entry), options_.order_timeout,
           [this, requested, entry](const http_response* response) {
               if (response == nullptr) {
                   changing_.erase(requested.engine);
@@ -182,7 +182,7 @@
                    {"role", role_name(requested.role)},
                    {"token", std::to_string(*token)},
                    {"orders_before", std::to_string(orders)}});
-    start(servers_, engine.address, wire_.encode_order(engine, {requested.role, node_, *token, orders}),
+    start(servers_, engine.address.str(), wire_.encode_order(engine, {requested.role, node_, *token, orders}),
           options_.order_timeout, [this, id = engine.id, token = *token](const http_response* response) {
               if (response == nullptr) {
                   // The order may still take effect: the engine's entry shows it, or change_time expires.
--- a/src/currantspar/gateway/role_controller.hpp
+++ b/src/currantspar/gateway/role_controller.hpp
@@ -65,7 +65,7 @@
     void send_order(const relay::role_change& requested, const relay::server_entry& engine,
                     std::uint64_t orders);
     void on_ordered(const backend_id& engine, std::uint64_t token, const http_response& response);
-    void start(server_pool& pool, const std::string& address, const std::string& request, duration timeout,
+    void start(server_pool& pool, const std::string& address, result<std::string> request, duration timeout,
                unary_calls::response_handler done);
 
     server_pool& servers_;
--- a/src/currantspar/gateway/slow_peer_test.cpp
+++ b/src/currantspar/gateway/slow_peer_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_node.hpp"
 
 // Peers that live but don't read for a while must not lose what was sent to them.
@@ -74,7 +75,7 @@
     });
     running_node run({test::echo}, running_node::store_response, [&](fake_protocol& wire) {
         allow_long_requests(wire);
-        wire.servers.front().address = server.address();
+        wire.servers.front().address = test_address(server.address());
     });
     auto caller = std::async(std::launch::async, [&] {
         return test::exchange_after_pause(run.wire.settings.caller_address,
--- a/src/currantspar/gateway/store_era_test.cpp
+++ b/src/currantspar/gateway/store_era_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/gateway/store_watch.hpp"
 #include "store_reader.hpp"
 #include "test_node.hpp"
@@ -106,7 +107,7 @@
         }
         return page;
     }
-    std::string encode_read(shared_topic topic, std::uint64_t from, duration) const override
+    result<std::string> encode_read(shared_topic topic, std::uint64_t from, duration) const override
     {
         const std::string target =
             "/read/" + std::to_string(static_cast<int>(topic)) + "/" + std::to_string(from);
@@ -138,7 +139,7 @@
         relay::server_entry entry;
         entry.id = backend_id(record.key);
         entry.service = service_id("desk");
-        entry.address = "127.0.0.1:9";
+        entry.address = test_address("127.0.0.1:9");
         return entry;
     }
 };
@@ -272,7 +273,7 @@
     relay::server_entry entry;
     entry.id = backend_id("new");
     entry.service = service_id("desk");
-    entry.address = "127.0.0.1:9";
+    entry.address = test_address("127.0.0.1:9");
     node.peer_update = relay::directory_update{
         1, 2, {relay::directory_change{1, backend_id("new"), entry}}, milliseconds(1), 1};
     BOOST_REQUIRE(node.run_until([&] { return node.uses("new"); }));
--- a/src/currantspar/gateway/store_reader.cpp
+++ b/src/currantspar/gateway/store_reader.cpp
@@ -267,6 +267,14 @@
     }
 }
 
+void store_reader::log_left_out(const relay::relay_config& config)
+{
+    for (const std::string& reason : config.left_out) {
+        io::log_event(io::log_level::warning, "configuration_part_left_out",
+                      {{"version", std::to_string(config.version)}, {"reason", reason}});
+    }
+}
+
 std::optional<relay::directory_update> store_reader::make_update(instant now)
 {
     const bool can_update = reading_ && !relisting_ && changelog_.listed() && servers_->store_reachable();
@@ -299,6 +307,9 @@
                       {{"version", std::to_string((*config)->version)},
                        {"offset", std::to_string(record.offset)},
                        {"routes", std::to_string((*config)->routes.size())}});
+        if (newer) {
+            log_left_out(**config);
+        }
     }
 }
 
@@ -328,7 +339,13 @@
 
 void store_reader::on_server_record(const keyed_record& record, instant now)
 {
-    relay::directory_change change{record.offset, backend_id(record.key), std::nullopt};
+    const auto id = parse_server_id(record.key);
+    if (!id) {
+        io::log_event(io::log_level::warning, "server_entry_unreadable",
+                      {{"server", record.key}, {"reason", id.error().message}});
+        return;
+    }
+    relay::directory_change change{record.offset, *id, std::nullopt};
     if (record.value) {
         const auto entry = wire_.decode_server(record);
         if (!entry) {
@@ -356,7 +373,7 @@
     io::log_event(io::log_level::info, event,
                   {{"server", change.id.str()},
                    {"service", change.entry ? change.entry->service.str() : std::string()},
-                   {"address", change.entry ? change.entry->address : std::string()},
+                   {"address", change.entry ? change.entry->address.str() : std::string()},
                    {"held", effect == relay::entry_change::none ? "true" : "false"},
                    {"offset", std::to_string(change.offset)},
                    {"source", std::string(source)}});
--- a/src/currantspar/gateway/store_reader.hpp
+++ b/src/currantspar/gateway/store_reader.hpp
@@ -48,6 +48,7 @@
     void open_configuration();
     void open_servers();
     void open_nodes();
+    static void log_left_out(const relay::relay_config& config);
     void on_configuration(const std::vector<keyed_record>& records);
     void on_servers_listed(const std::vector<keyed_record>& records, instant now);
     void on_server_record(const keyed_record& record, instant now);
--- a/src/currantspar/gateway/store_reader_test.cpp
+++ b/src/currantspar/gateway/store_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_node.hpp"
 
 namespace currantspar::gateway {
@@ -44,7 +45,7 @@
         relay::server_entry entry;
         entry.id = server;
         entry.service = service_id("desk");
-        entry.address = "127.0.0.1:9";
+        entry.address = test_address("127.0.0.1:9");
         wire.servers.push_back(entry);
         auto config = std::make_shared<relay::relay_config>();
         config->version = 1;
--- a/src/currantspar/gateway/store_watch.cpp
+++ b/src/currantspar/gateway/store_watch.cpp
@@ -111,9 +111,13 @@
     read_started_at_ = now;
     last_byte_at_ = now;
     request_offset_ = next_;
-    const std::string request =
+    auto request =
         listing_ ? wire_.encode_listing(topic_, after_key_) : wire_.encode_read(topic_, next_, options_.wait);
-    exchange_ = pool_.start(store_, {request, {}}, *this, now);
+    if (!request) {
+        failed(request.error().message, now);
+        return;
+    }
+    exchange_ = pool_.start(store_, {std::move(*request), {}}, *this, now);
 }
 
 std::size_t store_watch::max_body_bytes() const
--- a/src/currantspar/gateway/test_node.hpp
+++ b/src/currantspar/gateway/test_node.hpp
@@ -11,6 +11,7 @@
 #include <ace/Reactor.h>
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/io/clock.hpp"
 #include "gateway_node.hpp"
 #include "test_peer.hpp"
@@ -36,12 +37,12 @@
         }
         return decoded;
     }
-    std::string encode_attempt(const http_request& request,
-                               const relay::start_attempt& attempt) const override
+    result<std::string> encode_attempt(const http_request& request,
+                                       const relay::start_attempt& attempt) const override
     {
         http_request out = request;
         if (!attempt.resume_after.empty()) {
-            out.fields.push_back({"Resume", attempt.resume_after});
+            out.fields.push_back({"Resume", attempt.resume_after.str()});
         }
         return write_request(out);
     }
@@ -57,10 +58,13 @@
         }
         return decoded;
     }
-    result<std::string> decode_kv_handle(std::string_view) const override { return std::string("h"); }
-    std::string encode_free_kv_cache(const relay::free_kv_cache&) const override { return {}; }
+    result<kv_handle> decode_kv_handle(std::string_view body) const override
+    {
+        return kv_handle::parse(std::string(body));
+    }
+    result<std::string> encode_free_kv_cache(const relay::free_kv_cache&) const override { return {}; }
     http_fields encode_reply(const relay::reply&) const override { return {}; }
-    std::string encode_listing(shared_topic topic, const std::string&) const override
+    result<std::string> encode_listing(shared_topic topic, const std::string&) const override
     {
         return write_request(
             {"GET", "/newest/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
@@ -77,7 +81,7 @@
         }
         return page;
     }
-    std::string encode_read(shared_topic topic, std::uint64_t, duration) const override
+    result<std::string> encode_read(shared_topic topic, std::uint64_t, duration) const override
     {
         return write_request(
             {"GET", "/read/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
@@ -89,13 +93,14 @@
         }
         return record_batch{{}, from, false};
     }
-    std::string encode_append(shared_topic topic, const std::string&, const std::string&) const override
+    result<std::string> encode_append(shared_topic topic, const std::string&,
+                                      const std::string&) const override
     {
         return write_request(
             {"POST", "/append/" + std::to_string(static_cast<int>(topic)), {{"Host", "store"}}, {}});
     }
-    std::string encode_conditional_append(shared_topic, const std::string&, const std::string&,
-                                          std::uint64_t) const override
+    result<std::string> encode_conditional_append(shared_topic, const std::string&, const std::string&,
+                                                  std::uint64_t) const override
     {
         return {};
     }
@@ -105,8 +110,11 @@
         const std::string era = field(fields, "Era");
         return era.empty() ? 0 : std::stoull(era);
     }
-    std::string encode_usage(const relay::usage_report&, const duty_holder&) const override { return {}; }
-    std::string encode_capacity_order(const relay::capacity_order&, const duty_holder&) const override
+    result<std::string> encode_usage(const relay::usage_report&, const duty_holder&) const override
+    {
+        return {};
+    }
+    result<std::string> encode_capacity_order(const relay::capacity_order&, const duty_holder&) const override
     {
         return {};
     }
@@ -114,9 +122,12 @@
     {
         return relay::duty_outcome::accepted;
     }
-    std::string encode_status(const relay::server_entry&) const override { return {}; }
+    result<std::string> encode_status(const relay::server_entry&) const override { return {}; }
     result<engine_status> decode_status(const http_response&) const override { return engine_status{}; }
-    std::string encode_order(const relay::server_entry&, const role_order&) const override { return {}; }
+    result<std::string> encode_order(const relay::server_entry&, const role_order&) const override
+    {
+        return {};
+    }
     order_outcome decode_order(const http_response&) const override { return order_outcome::refused; }
     result<std::shared_ptr<const relay::relay_config>> decode_config(const keyed_record&) const override
     {
@@ -176,7 +187,7 @@
             relay::server_entry entry;
             entry.id = backend_id("server-" + std::to_string(servers.size()));
             entry.service = service_id("desk");
-            entry.address = servers.back()->address();
+            entry.address = test_address(servers.back()->address());
             wire.servers.push_back(entry);
         }
         wire.settings.node = "node";
--- a/src/currantspar/gateway/unary_call.cpp
+++ b/src/currantspar/gateway/unary_call.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "currantspar/io/log.hpp"
+
 namespace currantspar::gateway {
 
 namespace {
@@ -19,9 +21,9 @@
     {}
     ~call() override { pool_.cancel(exchange_); }
 
-    void start(const std::string& address, const std::string& request, instant now)
+    void start(const std::string& address, std::string request, instant now)
     {
-        exchange_ = pool_.start(address, {request, {}}, *this, now);
+        exchange_ = pool_.start(address, {std::move(request), {}}, *this, now);
     }
     bool response_head(int status, const http_fields& fields) override
     {
@@ -62,11 +64,17 @@
 
 unary_calls::~unary_calls() = default;
 
-void unary_calls::start(server_pool& pool, const std::string& address, const std::string& request,
+void unary_calls::start(server_pool& pool, const std::string& address, result<std::string> request,
                         duration timeout, response_handler done, instant now)
 {
+    if (!request) {
+        io::log_event(io::log_level::error, "call_not_encoded",
+                      {{"address", address}, {"reason", request.error().message}});
+        calls_.push_back(std::make_unique<call>(pool, now, std::move(done)));
+        return;
+    }
     calls_.push_back(std::make_unique<call>(pool, now + timeout, std::move(done)));
-    calls_.back()->start(address, request, now);
+    calls_.back()->start(address, std::move(*request), now);
 }
 
 void unary_calls::on_tick(instant now)
--- a/src/currantspar/gateway/unary_call.hpp
+++ b/src/currantspar/gateway/unary_call.hpp
@@ -20,8 +20,9 @@
     unary_calls();
     ~unary_calls();
 
-    /// Sends a request. `pool` must outlive this object.
-    void start(server_pool& pool, const std::string& address, const std::string& request, duration timeout,
+    /// Sends a request; one that couldn't be serialized fails in the next tick. `pool` must outlive this
+    /// object.
+    void start(server_pool& pool, const std::string& address, result<std::string> request, duration timeout,
                response_handler done, instant now);
     /// Cancels calls that have timed out.
     void on_tick(instant now);
--- a/src/currantspar/relay/engine_choice.cpp
+++ b/src/currantspar/relay/engine_choice.cpp
@@ -160,7 +160,7 @@
                                                  instant now) const
 {
     const std::uint64_t hash = engine_hash(engine.id);
-    const bool connected = !connected_ || connected_(engine.address);
+    const bool connected = !connected_ || connected_(engine.address.str());
     return {&engine, load(hash), cached_tokens(request, hash, now), connected ? 0 : options_.connect_ms};
 }
 
--- a/src/currantspar/relay/engine_choice_test.cpp
+++ b/src/currantspar/relay/engine_choice_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_prefill_fleet.hpp"
 
 namespace currantspar::relay {
@@ -243,11 +244,11 @@
     std::vector<server_entry> engines;
     for (int index = 0; index < 100; ++index) {
         engines.push_back(make_server("reader-" + std::to_string(index), "llm", prefill));
-        engines.back().address = "10.1.0." + std::to_string(index) + ":80";
+        engines.back().address = test_address("10.1.0." + std::to_string(index) + ":80");
     }
     for (int index = 0; index < 30; ++index) {
         engines.push_back(make_server("decoder-" + std::to_string(index), "llm", decode));
-        engines.back().address = "10.2.0." + std::to_string(index) + ":80";
+        engines.back().address = test_address("10.2.0." + std::to_string(index) + ":80");
     }
     constexpr double kept_seconds = 4;
     constexpr double requests_per_second = 3;
@@ -275,8 +276,8 @@
             choice.on_ended(attempt);
             for (const server_entry& engine : engines) {
                 if (engine.id == placed->prefill_engine || engine.id == placed->decode_engine) {
-                    opened += is_open(engine.address) ? 0 : 1;
-                    used[engine.address] = now;
+                    opened += is_open(engine.address.str()) ? 0 : 1;
+                    used[engine.address.str()] = now;
                 }
             }
         }
--- a/src/currantspar/relay/not_run_promise_test.cpp
+++ b/src/currantspar/relay/not_run_promise_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_relay.hpp"
 
 namespace currantspar::relay {
@@ -157,7 +158,7 @@
             attempts_.erase(id);
             take(core_.on_stream_end(id, now_));
         } else {
-            take(core_.on_events(id, std::to_string(++last_event_), now_));
+            take(core_.on_events(id, test_event(std::to_string(++last_event_)), now_));
         }
     }
 
@@ -166,7 +167,7 @@
         open_attempt& each = attempts_.at(id);
         if (each.stage == attempt_stage::prefill_only) {
             attempts_.erase(id);
-            take(core_.on_prompt_prefilled(id, "h" + std::to_string(id.value()), now_));
+            take(core_.on_prompt_prefilled(id, test_handle("h" + std::to_string(id.value())), now_));
         } else if (each.stream && below(4) > 0) {
             each.head = true;
             take(core_.on_stream_head(id, now_));
--- a/src/currantspar/relay/relay_core.cpp
+++ b/src/currantspar/relay/relay_core.cpp
@@ -186,7 +186,7 @@
                                {{"detail", detail},
                                 {"after_ms", milliseconds_text(now - req.arrived)},
                                 {"server", req.server.str()},
-                                {"last_event", req.last_event}}});
+                                {"last_event", req.last_event.str()}}});
     requests_.erase(it);
     return out;
 }
@@ -232,7 +232,7 @@
 }
 
 void relay_core::send(request_map::iterator it, const server_entry& server, attempt_stage stage,
-                      const std::string& handle, const std::string& handle_address, instant now,
+                      const kv_handle& handle, const server_address& handle_address, instant now,
                       relay_effects& out)
 {
     request& req = it->second;
@@ -247,17 +247,17 @@
     attempts_.emplace(attempt, it->first);
     limits_.on_sent(server.id, now);
     health_[req.service].on_started(server.id);
-    const std::string resume = stage == attempt_stage::prefill_only ? std::string() : req.last_event;
+    const event_id resume = stage == attempt_stage::prefill_only ? event_id() : req.last_event;
     const bool stream = req.route->kind == route_kind::stream && stage != attempt_stage::prefill_only;
-    out.push_back(start_attempt{attempt, it->first, req.info.id, stream, server.id, server.address, stage,
-                                handle, handle_address, req.deadline - now, req.priority, resume,
-                                req.organisation});
+    out.push_back(start_attempt{attempt, it->first, req.info.id, stream, stream && req.route->resumable,
+                                server.id, server.address, stage, handle, handle_address, req.deadline - now,
+                                req.priority, resume, req.organisation});
     out.push_back(log_decision{"attempt_started",
                                req.info.id,
                                {{"route", req.route->name},
                                 {"config_version", std::to_string(req.config->version)},
                                 {"server", server.id.str()},
-                                {"address", server.address},
+                                {"address", server.address.str()},
                                 {"stage", std::string(stage_name(stage))},
                                 {"send", std::to_string(req.attempts_made)},
                                 {"tokens", std::to_string(req.info.prompt_tokens)},
@@ -324,7 +324,7 @@
     return out;
 }
 
-relay_effects relay_core::on_events(attempt_id attempt, const std::string& last_event, instant now)
+relay_effects relay_core::on_events(attempt_id attempt, const event_id& last_event, instant now)
 {
     relay_effects out;
     const auto it = find_attempt(attempt);
--- a/src/currantspar/relay/relay_core_engines.cpp
+++ b/src/currantspar/relay/relay_core_engines.cpp
@@ -46,7 +46,7 @@
         return;
     }
     release_load(req);
-    req.handle.clear();
+    req.handle = {};
     req.kv_transfer_refused = false;
     req.placed = *chosen;
     req.load_key = attempt_id(last_attempt_ + 1);
@@ -100,7 +100,7 @@
     return true;
 }
 
-relay_effects relay_core::on_prompt_prefilled(attempt_id attempt, const std::string& handle, instant now)
+relay_effects relay_core::on_prompt_prefilled(attempt_id attempt, const kv_handle& handle, instant now)
 {
     relay_effects out;
     const auto it = find_attempt(attempt);
@@ -113,7 +113,7 @@
     return out;
 }
 
-void relay_core::start_decode(request_map::iterator it, const std::string& handle, instant now,
+void relay_core::start_decode(request_map::iterator it, const kv_handle& handle, instant now,
                               relay_effects& out)
 {
     request& req = it->second;
@@ -161,7 +161,7 @@
     if (decode_engine == nullptr || prefill_engine == nullptr) {
         return false;
     }
-    const std::string handle = req.handle;
+    const kv_handle handle = req.handle;
     if (refuse_quarantined(it, now, out)) {
         out.push_back(free_kv_cache{prefill_engine->address, handle});
         return true;
--- a/src/currantspar/relay/relay_core_keys_test.cpp
+++ b/src/currantspar/relay/relay_core_keys_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "currantspar/base/hash.hpp"
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_relay.hpp"
 
 namespace currantspar::relay {
@@ -337,7 +338,7 @@
     BOOST_TEST(text.find(sha256_hex(key).substr(0, 16)) == std::string::npos);
     // What a cancelled attempt still says changes nothing.
     BOOST_TEST(node.core.on_response(call, success, at(1.3)).empty());
-    BOOST_TEST(node.core.on_events(stream, "1", at(1.3)).empty());
+    BOOST_TEST(node.core.on_events(stream, test_event("1"), at(1.3)).empty());
 }
 
 /// Guards against a stream of a removed key that goes on, or that looks complete to its caller.
@@ -346,7 +347,7 @@
     keyed_node node(true);
     const attempt_id stream = node.sent("/resume/1", key);
     std::ignore = node.core.on_stream_head(stream, at(1.1));
-    std::ignore = node.core.on_events(stream, "1", at(1.1));
+    std::ignore = node.core.on_events(stream, test_event("1"), at(1.1));
     node.core.on_config(make_config_without_key());
     const relay_effects effects = node.core.on_tick(at(1.2));
     BOOST_REQUIRE(first<cancel_attempt>(effects) != nullptr);
--- a/src/currantspar/relay/relay_core_limits_test.cpp
+++ b/src/currantspar/relay/relay_core_limits_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_relay.hpp"
 
 namespace currantspar::relay {
@@ -113,11 +114,11 @@
         BOOST_REQUIRE(start != nullptr);
         BOOST_REQUIRE((start->stage == attempt_stage::prefill_only));
         name_limit(node, limited, 1);
-        const relay_effects next = node.core.on_prompt_prefilled(start->attempt, "h", at(1.1));
+        const relay_effects next = node.core.on_prompt_prefilled(start->attempt, test_handle("h"), at(1.1));
         const auto* decode = first<start_attempt>(next);
         BOOST_REQUIRE(decode != nullptr);
         BOOST_TEST((decode->stage == attempt_stage::decode_only));
-        BOOST_TEST(decode->handle == "h");
+        BOOST_TEST(decode->handle.str() == "h");
         BOOST_TEST((decode->server != backend_id(limited)));
     }
 }
@@ -130,12 +131,12 @@
     prompt.path = "/resume/1";
     const relay_effects effects = node.core.on_request(request_number(1), prompt, at(1));
     const relay_effects next =
-        node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, "h", at(1.1));
+        node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, test_handle("h"), at(1.1));
     const auto* decode = first<start_attempt>(next);
     BOOST_REQUIRE(decode != nullptr);
     node.core.on_written(decode->attempt);
     static_cast<void>(node.core.on_stream_head(decode->attempt, at(1.2)));
-    static_cast<void>(node.core.on_events(decode->attempt, "1", at(1.2)));
+    static_cast<void>(node.core.on_events(decode->attempt, test_event("1"), at(1.2)));
     const backend_id other(decode->server == backend_id("decoder-1") ? "decoder-2" : "decoder-1");
     name_limit(node, other.str().c_str(), 1.2);
     const relay_effects resumed =
--- a/src/currantspar/relay/relay_core_outcomes.cpp
+++ b/src/currantspar/relay/relay_core_outcomes.cpp
@@ -75,6 +75,24 @@
     return out;
 }
 
+relay_effects relay_core::on_not_encoded(attempt_id attempt, const std::string& detail, instant now)
+{
+    relay_effects out;
+    const auto it = find_attempt(attempt);
+    if (it == requests_.end()) {
+        return out;
+    }
+    request& req = it->second;
+    abandon_current(req, out);
+    req.current = attempt_id();
+    out.push_back(log_decision{
+        "attempt_not_encoded",
+        req.info.id,
+        {{"server", req.server.str()}, {"detail", detail}, {"stage", std::string(stage_name(req.stage))}}});
+    fail(it, detail, now, out);
+    return out;
+}
+
 bool relay_core::may_send_again(const request& req, bool after_run, instant now)
 {
     if (req.attempts_made >= options_.max_total_attempts || now + options_.min_time_left >= req.deadline) {
--- a/src/currantspar/relay/relay_core_test.cpp
+++ b/src/currantspar/relay/relay_core_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "test_relay.hpp"
 
 namespace currantspar::relay {
@@ -262,11 +263,11 @@
         const relay_effects effects =
             node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
         const relay_effects next =
-            node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, "h", at(1.1));
+            node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, test_handle("h"), at(1.1));
         const attempt_id attempt = first<start_attempt>(next)->attempt;
         node.core.on_written(attempt);
         static_cast<void>(node.core.on_stream_head(attempt, at(1.15)));
-        static_cast<void>(node.core.on_events(attempt, "1", at(1.2)));
+        static_cast<void>(node.core.on_events(attempt, test_event("1"), at(1.2)));
         const relay_effects lost =
             node.core.on_failure(attempt, attempt_failure::lost, "closed", at(crash_at));
         BOOST_TEST((first<probe_server>(lost) != nullptr) == (crash_at < 1.4));
@@ -319,11 +320,11 @@
     BOOST_REQUIRE(read != nullptr);
     BOOST_TEST((read->stage == attempt_stage::prefill_only));
     BOOST_TEST(!read->stream);
-    const relay_effects next = node.core.on_prompt_prefilled(read->attempt, "h1", at(1.3));
+    const relay_effects next = node.core.on_prompt_prefilled(read->attempt, test_handle("h1"), at(1.3));
     const auto* run = first<start_attempt>(next);
     BOOST_REQUIRE(run != nullptr);
     BOOST_TEST((run->stage == attempt_stage::decode_only));
-    BOOST_TEST(run->handle == "h1");
+    BOOST_TEST(run->handle.str() == "h1");
     BOOST_TEST(run->stream);
 }
 
@@ -333,7 +334,7 @@
     const relay_effects effects =
         node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
     const relay_effects run =
-        node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, "h1", at(1.3));
+        node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, test_handle("h1"), at(1.3));
     const auto* refused = first<start_attempt>(run);
     const backend_id decode_engine = refused->server;
     node.core.on_written(refused->attempt);
@@ -342,7 +343,7 @@
     const auto* other = first<start_attempt>(again);
     BOOST_REQUIRE(other != nullptr);
     BOOST_TEST((other->stage == attempt_stage::decode_only));
-    BOOST_TEST(other->handle == "h1");
+    BOOST_TEST(other->handle.str() == "h1");
     BOOST_TEST((other->server != decode_engine));
 }
 
@@ -352,7 +353,8 @@
     const relay_effects effects =
         node.core.on_request(request_number(1), test::make_prompt("r", 7, 13300, 3700), at(1));
     const backend_id prefill_engine = first<start_attempt>(effects)->server;
-    relay_effects run = node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, "h1", at(1.3));
+    relay_effects run =
+        node.core.on_prompt_prefilled(first<start_attempt>(effects)->attempt, test_handle("h1"), at(1.3));
     for (int refusals = 0; refusals < 2; ++refusals) {
         const attempt_id attempt = first<start_attempt>(run)->attempt;
         node.core.on_written(attempt);
@@ -384,7 +386,7 @@
             const bool prefilling = start->stage == attempt_stage::prefill_only;
             (prefilling ? prefills : runs) += 1;
             node.core.on_written(attempt);
-            effects = prefilling ? node.core.on_prompt_prefilled(attempt, "h", at(1.01))
+            effects = prefilling ? node.core.on_prompt_prefilled(attempt, test_handle("h"), at(1.01))
                                  : node.core.on_failure(attempt, attempt_failure::not_run, "503", at(1.02));
         }
         extra += (prefills > 0 ? prefills - 1 : 0) + (runs > 0 ? runs - 1 : 0);
@@ -399,17 +401,17 @@
     request_info info = test::make_prompt("r", 7, 300, 200);
     info.path = "/resume/1";
     attempt_id attempt = node.sent(info);
-    relay_effects effects = node.core.on_prompt_prefilled(attempt, "h", at(1.1));
+    relay_effects effects = node.core.on_prompt_prefilled(attempt, test_handle("h"), at(1.1));
     if (const auto* run = first<start_attempt>(effects)) {
         attempt = run->attempt;
         node.core.on_written(attempt);
     }
     BOOST_TEST(first<open_response>(node.core.on_stream_head(attempt, at(1.2)))->with_head);
-    static_cast<void>(node.core.on_events(attempt, "5", at(1.3)));
+    static_cast<void>(node.core.on_events(attempt, test_event("5"), at(1.3)));
     effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.4));
     const auto* again = first<start_attempt>(effects);
     BOOST_REQUIRE(again != nullptr);
-    BOOST_TEST(again->resume_after == "5");
+    BOOST_TEST(again->resume_after.str() == "5");
     BOOST_TEST((again->stage == attempt_stage::full_request));
     BOOST_TEST(!first<open_response>(node.core.on_stream_head(again->attempt, at(1.5)))->with_head);
 }
@@ -423,13 +425,13 @@
         request_info info = test::make_prompt("r", 7, 300, 200);
         info.path = "/resume/1";
         attempt_id attempt = node.sent(info);
-        relay_effects effects = node.core.on_prompt_prefilled(attempt, "h", at(1.1));
+        relay_effects effects = node.core.on_prompt_prefilled(attempt, test_handle("h"), at(1.1));
         if (const auto* run = first<start_attempt>(effects)) {
             attempt = run->attempt;
             node.core.on_written(attempt);
         }
         static_cast<void>(node.core.on_stream_head(attempt, at(1.2)));
-        static_cast<void>(node.core.on_events(attempt, "5", at(1.3)));
+        static_cast<void>(node.core.on_events(attempt, test_event("5"), at(1.3)));
         effects = node.core.on_failure(attempt, attempt_failure::lost, "reset", at(1.4));
         attempt = first<start_attempt>(effects)->attempt;
         node.core.on_written(attempt);
@@ -444,7 +446,7 @@
 {
     served_node node;
     attempt_id attempt = node.sent(test::make_prompt("r", 7, 300, 200));
-    relay_effects effects = node.core.on_prompt_prefilled(attempt, "h", at(1.1));
+    relay_effects effects = node.core.on_prompt_prefilled(attempt, test_handle("h"), at(1.1));
     attempt = first<start_attempt>(effects)->attempt;
     node.core.on_written(attempt);
     static_cast<void>(node.core.on_stream_head(attempt, at(1.2)));
--- a/src/currantspar/relay/test_overload_fleet.hpp
+++ b/src/currantspar/relay/test_overload_fleet.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/relay/relay_core.hpp"
 #include "test_relay.hpp"
 
@@ -96,7 +97,8 @@
             const std::string id = (prefills ? "prefill-" : "decode-") + std::to_string(index);
             server_entry entry =
                 make_server(id, "llm", prefills ? config::engine_role::prefill : config::engine_role::decode);
-            entry.address = id;
+            entry.address = test_address("10.0." + std::to_string(index / 256) + "." +
+                                         std::to_string(index % 256) + ":80");
             entries_.push_back(entry);
             engines_[backend_id(id)].prefills = prefills;
         }
@@ -294,7 +296,8 @@
             if (!done.prefill_only) {
                 first_event(done);
             } else if (placed_.contains({done.node, done.attempt.value()})) {
-                apply(done.node, nodes_[done.node]->on_prompt_prefilled(done.attempt, "handle", time()));
+                apply(done.node,
+                      nodes_[done.node]->on_prompt_prefilled(done.attempt, test_handle("handle"), time()));
             }
         });
         run_next(server);
@@ -310,7 +313,7 @@
         placed_.erase(found);
         relay_core& node = *nodes_[done.node];
         apply(done.node, node.on_stream_head(done.attempt, time()));
-        apply(done.node, node.on_events(done.attempt, "1", time()));
+        apply(done.node, node.on_events(done.attempt, test_event("1"), time()));
         apply(done.node, node.on_stream_end(done.attempt, time()));
         const auto second = static_cast<std::size_t>(to.arrived);
         result_.served[second] += 1;
--- a/src/currantspar/relay/test_relay.hpp
+++ b/src/currantspar/relay/test_relay.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "currantspar/base/test_wire_text.hpp"
 #include "currantspar/relay/relay_core.hpp"
 
 namespace currantspar::relay::test {
@@ -24,7 +25,7 @@
     server_entry entry;
     entry.id = backend_id(id);
     entry.service = service_id(service);
-    entry.address = "10.0.0.1:80";
+    entry.address = test_address("10.0.0.1:80");
     entry.data_centre = data_centre_id(data_centre);
     entry.slots = 6;
     entry.role = role;
