Tell of digests that can't be read, and test names that come from peers

Change: digest_unreadable with the last reason, one line a second at most. The test guards against values of other nodes in messages to servers, the cloud API and the log.

--- a/include/currantspar/gateway/peer_link.hpp
+++ b/include/currantspar/gateway/peer_link.hpp
@@ -16,6 +16,7 @@
 #include "currantspar/base/result.hpp"
 #include "currantspar/base/time.hpp"
 #include "currantspar/gateway/load_digest.hpp"
+#include "currantspar/io/log_limiter.hpp"
 
 namespace currantspar::gateway {
 
@@ -145,6 +146,7 @@
     instant full_due_{};
     std::optional<load_digest> remote_pending_; ///< load that other data centres don't know yet
     instant remote_due_{};
+    io::log_limiter unreadable_lines_;
     std::optional<instant> release_due_; ///< when ended requests are sent even if nothing else is
 };
 
--- a/src/currantspar/gateway/message_test.cpp
+++ b/src/currantspar/gateway/message_test.cpp
@@ -218,6 +218,20 @@
     BOOST_TEST(!last_id("id: " + std::string(100000, '1')).has_value());
 }
 
+/// Guards against values of other nodes that would reach servers, the cloud API or the log.
+BOOST_AUTO_TEST_CASE(a_digest_with_a_value_that_cannot_be_passed_on_is_refused)
+{
+    for (const std::string& text : {std::string("a\r\nX: y"), std::string("a\xff"), std::string("a\x1b")}) {
+        load_digest with_removal{"10.0.0.1:7380", 5, true, {}, {}, 8, data_centre_id("a"), {}};
+        with_removal.servers = relay::directory_update{
+            7, 8, {{7, backend_id(text), std::nullopt}}, std::chrono::milliseconds(4)};
+        BOOST_TEST(!decode_digest(encode_digest(with_removal)).has_value());
+        load_digest with_usage{"10.0.0.1:7380", 5, true, {}, {}, 8, data_centre_id("a"), {}};
+        with_usage.usage = {{1, organisation_id(text), 2}};
+        BOOST_TEST(!decode_digest(encode_digest(with_usage)).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fields_are_found_whatever_their_case)
 {
     const http_fields fields = {{"Keep-Alive", "timeout=5"}, {"connection", "close, X-A"}};
--- a/src/currantspar/gateway/peer_link.cpp
+++ b/src/currantspar/gateway/peer_link.cpp
@@ -10,6 +10,7 @@
 
 #include "currantspar/io/address.hpp"
 #include "currantspar/io/clock.hpp"
+#include "currantspar/io/log.hpp"
 
 namespace currantspar::gateway {
 
@@ -311,10 +312,17 @@
 void peer_link::receive(std::string_view bytes)
 {
     const auto digest = decode_digest(bytes);
-    if (!digest || digest->sender.empty() || digest->sender == self_) {
+    const instant now = io::monotonic_now();
+    if (!digest) {
+        if (const auto count = unreadable_lines_.on_event(now)) {
+            io::log_event(io::log_level::warning, "digest_unreadable",
+                          {{"reason", digest.error().message}, {"count", std::to_string(*count)}});
+        }
+        return;
+    }
+    if (digest->sender.empty() || digest->sender == self_) {
         return;
     }
-    const instant now = io::monotonic_now();
     add_peer(digest->sender, now);
     const auto found = peers_.find(digest->sender);
     if (found == peers_.end()) {
