Escape and cut the values of log lines

Cause: a value was quoted only if it held one of seven characters, and was never cut, so control characters of callers and servers stood in the log as they were, and one value could be as long as a head. Change: what isn't plain printable ASCII is quoted with escapes, and a value is cut after 1,024 bytes.

--- a/include/currantspar/io/log.hpp
+++ b/include/currantspar/io/log.hpp
@@ -25,7 +25,8 @@
     standard_output,
 };
 
-/// One figure or name of a log line. Request bodies and API keys are never logged.
+/// One figure or name of a log line. Request bodies and API keys are never logged. Whatever a value holds, it
+/// stays on its line, in printable ASCII, and is cut after a kilobyte.
 struct log_field
 {
     std::string key;
--- a/src/currantspar/io/log.cpp
+++ b/src/currantspar/io/log.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "currantspar/base/json.hpp"
+#include "currantspar/base/wire_text.hpp"
 #include "currantspar/io/clock.hpp"
 
 // The library keeps its state in this process-wide storage.
@@ -25,6 +26,8 @@
 
     constexpr unsigned lines_per_event = 100; ///< in one window
     constexpr duration window = std::chrono::seconds(1);
+    /// Callers and servers choose some values, for example the id of a request.
+    constexpr std::size_t max_value_bytes = 1024;
     constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
 
     struct repeat_count
@@ -87,6 +90,23 @@
         }
 
     private:
+        /// Cuts a value of printable text.
+        static std::string cut(const std::string& value)
+        {
+            if (value.size() <= max_value_bytes) {
+                return value;
+            }
+            return value.substr(0, max_value_bytes) + "... (" + std::to_string(value.size()) + " bytes)";
+        }
+
+        /// True for text that needs no quotes.
+        static bool is_plain(std::string_view value)
+        {
+            return std::all_of(value.begin(), value.end(), [](char each) {
+                return each > ' ' && each <= '~' && each != '"' && each != '\\' && each != '=';
+            });
+        }
+
         static std::string as_json(log_level level, std::string_view event,
                                    const std::vector<log_field>& fields)
         {
@@ -94,9 +114,9 @@
                                           {"level", level_names[static_cast<std::size_t>(level)]},
                                           {"event", event}};
             for (const log_field& field : fields) {
-                out[field.key] = field.value;
+                out[field.key] = cut(field.value);
             }
-            return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+            return out.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
         }
 
         static std::string as_pairs(log_level level, std::string_view event,
@@ -106,11 +126,9 @@
             out.append(" level=").append(level_names[static_cast<std::size_t>(level)]);
             out.append(" event=").append(event);
             for (const log_field& field : fields) {
-                const nlohmann::json quoted = field.value;
-                const bool plain = field.value.find_first_of(" \"\\=\n\r\t") == std::string::npos;
                 out.append(" ").append(field.key).append("=");
-                out.append(plain ? field.value
-                                 : quoted.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+                out.append(is_plain(field.value) ? cut(field.value)
+                                                 : escaped_excerpt(field.value, max_value_bytes));
             }
             return out;
         }
--- a/src/currantspar/io/log_test.cpp
+++ b/src/currantspar/io/log_test.cpp
@@ -1,5 +1,6 @@
 #include "currantspar/io/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <future>
@@ -10,6 +11,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include "currantspar/base/wire_text.hpp"
+
 namespace currantspar::io {
 
 namespace {
@@ -128,6 +131,28 @@
     BOOST_TEST(dropped_log_lines() - before >= 1600U);
 }
 
+/// Guards against values of callers and servers that act as a line of their own, act on the reader's
+/// terminal, or fill the log.
+BOOST_AUTO_TEST_CASE(a_value_stays_on_its_line_and_is_cut)
+{
+    const std::string hostile = "a\r\nwall_ms=1 event=forged\x1b[2J\x7f\xc2\x85\xff" + std::string(2000, 'x');
+    for (const auto format : {config::log_format::key_value, config::log_format::json}) {
+        piped_output output;
+        configure_log("info", format, log_target::standard_output);
+        log_event(log_level::info, "before"); // and what other tests left
+        static_cast<void>(output.read());
+        log_event(log_level::info, "hostile-value",
+                  {{"value", hostile}, {"escape", "\x1b[2J"}, {"plain", "a/b"}});
+        const std::string text = output.read();
+        BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 1);
+        BOOST_TEST(is_printable(text.substr(0, text.size() - 1)));
+        BOOST_TEST(std::all_of(text.begin(), text.end(),
+                               [](char each) { return each == '\n' || (each >= ' ' && each <= '~'); }));
+        BOOST_TEST(text.size() < 2000U);
+        BOOST_TEST(text.find("a/b") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::io
