End responses without a body with their heads

What callers saw: HEAD got a 504 at the deadline, or a server's stray body in front of the next response; a stream whose head had status 204 began as a chunked response with that status. Cause: neither the reader of responses nor the caller's connection knew the request's method, and the framing was chosen without regard to the status. Change: both know it; a stream with a status without a body has failed its attempt; the encoder leaves out the framing where no body may follow.

--- a/include/currantspar/gateway/caller_connection.hpp
+++ b/include/currantspar/gateway/caller_connection.hpp
@@ -133,6 +133,7 @@
     bool close_after_ = false;
     bool keep_alive_ = true;
     bool continue_sent_ = false;
+    bool answers_head_ = false; ///< the open request's method is HEAD, so its response has no body
     bool closing_ = false;      ///< close once all output is sent
     bool parsing_ = false;
     bool requests_left_ = false; ///< one event has answered as many as it may
--- a/include/currantspar/gateway/http_message.hpp
+++ b/include/currantspar/gateway/http_message.hpp
@@ -54,6 +54,7 @@
     http_fields fields;                    ///< hop-by-hop and framing fields among them are left out
     std::optional<std::size_t> body_bytes; ///< nothing: the body is sent in chunks
     bool closes_connection = false;
+    bool to_head_request = false; ///< no body follows, and nothing is said of its length
 };
 
 /// True for a final status whose responses have no body and say nothing of its length. Thread safe.
--- a/include/currantspar/gateway/message_reader.hpp
+++ b/include/currantspar/gateway/message_reader.hpp
@@ -67,7 +67,8 @@
 class response_reader
 {
 public:
-    explicit response_reader(reader_limits limits);
+    /// `answers_head`: the response is to a HEAD request, so it ends with its head whatever that says.
+    explicit response_reader(reader_limits limits, bool answers_head = false);
     ~response_reader();
 
     /// Consumes the response's head from the front of `bytes`; the body is left. Returns `complete` only when
--- a/include/currantspar/gateway/server_connection.hpp
+++ b/include/currantspar/gateway/server_connection.hpp
@@ -55,7 +55,8 @@
 struct outgoing_request
 {
     std::string bytes;
-    std::string id; ///< by which responses name it; empty: it has none
+    std::string id;       ///< by which responses name it; empty: it has none
+    bool is_head = false; ///< its method is HEAD, so its response has no body
 };
 
 struct server_pool_options
--- a/src/currantspar/gateway/caller_connection.cpp
+++ b/src/currantspar/gateway/caller_connection.cpp
@@ -156,6 +156,7 @@
         http_request request = reader_->take();
         request_bytes_ = reader_->allocated_bytes() + body_copies * request.body.capacity();
         reader_.reset();
+        answers_head_ = request.method == "HEAD";
         request_open_ = true;
         response_begun_ = false;
         sink_.request_arrived(*this, std::move(request));
@@ -170,6 +171,7 @@
     free_memory(in_);
     waits_since_.reset();
     account_.release_reservation();
+    answers_head_ = false;
     sink_.request_malformed(status);
     http_fields fields;
     if (status == status_unavailable) {
@@ -185,11 +187,14 @@
                                 bool close_after)
 {
     close_after_ = close_after || !keep_alive_;
-    auto out = write_response_head({status, fields, body.size(), close_after_});
+    auto out = write_response_head({status, fields, body.size(), close_after_, answers_head_});
     if (!out) {
         log_not_encoded(out.error());
         close_after_ = true;
-        out = write_response_head({status_bad_gateway, {}, 0, true});
+        out = write_response_head({status_bad_gateway, {}, 0, true, answers_head_});
+        body = {};
+    }
+    if (answers_head_) {
         body = {};
     }
     out->reserve(out->size() + body.size());
@@ -203,7 +208,7 @@
 {
     close_after_ = close_after || !keep_alive_;
     response_begun_ = true;
-    const auto head = write_response_head({status, fields, std::nullopt, close_after_});
+    const auto head = write_response_head({status, fields, std::nullopt, close_after_, answers_head_});
     if (!head) {
         log_not_encoded(head.error());
         abort("its response can't be written");
@@ -214,7 +219,7 @@
 
 void caller_connection::continue_response(std::string_view bytes)
 {
-    if (bytes.empty()) {
+    if (bytes.empty() || answers_head_) {
         return;
     }
     write(write_chunk(bytes));
@@ -227,7 +232,9 @@
 
 void caller_connection::end_response()
 {
-    write(last_chunk);
+    if (!answers_head_) {
+        write(last_chunk);
+    }
     on_response_finished();
 }
 
--- a/src/currantspar/gateway/framing_test.cpp
+++ b/src/currantspar/gateway/framing_test.cpp
@@ -236,6 +236,7 @@
     BOOST_TEST(write_response_head({200, own, std::nullopt, true}).value() ==
                "HTTP/1.1 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
     BOOST_TEST(write_response_head({204, own, 0}).value() == "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n");
+    BOOST_TEST(write_response_head({200, own, 4, false, true}).value() == "HTTP/1.1 200 OK\r\nX: y\r\n\r\n");
     BOOST_TEST(!write_response_head({204, {}, 1}).has_value());
     BOOST_TEST(!write_response_head({304, {}, std::nullopt}).has_value());
     for (const int status : {0, 100, 199, 600, -1}) {
@@ -243,6 +244,16 @@
     }
 }
 
+/// Guards against a response to HEAD that waits for a body until its deadline.
+BOOST_AUTO_TEST_CASE(a_response_to_head_ends_with_its_head)
+{
+    response_reader reader({65536, 65536}, true);
+    std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nextra";
+    BOOST_TEST((reader.read(bytes) == read_progress::complete));
+    BOOST_TEST(bytes == "extra");
+    BOOST_TEST(reader.keep_alive());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace currantspar::gateway
--- a/src/currantspar/gateway/gateway_node.cpp
+++ b/src/currantspar/gateway/gateway_node.cpp
@@ -279,8 +279,9 @@
         run(core_.on_not_encoded(effect.attempt, encoded.error().message, now), now);
         return;
     }
+    const bool is_head = from->request.method == "HEAD";
     added.exchange =
-        servers_.start(effect.address.str(), {std::move(*encoded), effect.request_id}, added, now);
+        servers_.start(effect.address.str(), {std::move(*encoded), effect.request_id, is_head}, added, now);
 }
 
 void gateway_node::apply(const relay::cancel_attempt& effect, instant)
--- a/src/currantspar/gateway/gateway_node_responses.cpp
+++ b/src/currantspar/gateway/gateway_node_responses.cpp
@@ -67,6 +67,9 @@
         return checked.error().message;
     }
     const bool is_success = decoded.status < first_non_success_status;
+    if (expects_stream && is_success && is_bodiless(decoded.status)) {
+        return "stream without a body";
+    }
     if (stage != relay::attempt_stage::prefill_only && is_success && !decoded.not_run &&
         !is_verified_success()) {
         return "unverified success response";
--- a/src/currantspar/gateway/http_message.cpp
+++ b/src/currantspar/gateway/http_message.cpp
@@ -62,7 +62,7 @@
     if (head.status < first_final_status || head.status > last_final_status) {
         return refuse("status", std::to_string(head.status));
     }
-    if (is_bodiless(head.status) && head.body_bytes != 0U) {
+    if (is_bodiless(head.status) && !head.to_head_request && head.body_bytes != 0U) {
         return refuse("body of a response without one, status", std::to_string(head.status));
     }
     return {};
@@ -175,7 +175,7 @@
     out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
     out.append(reason.data(), reason.size()).append("\r\n");
     append_fields(out, head.fields);
-    if (is_bodiless(head.status)) {
+    if (head.to_head_request || is_bodiless(head.status)) {
         // Its end is that of the head.
     } else if (!head.body_bytes) {
         append_field(out, "Transfer-Encoding", "chunked");
--- a/src/currantspar/gateway/message_reader.cpp
+++ b/src/currantspar/gateway/message_reader.cpp
@@ -257,7 +257,7 @@
 
 struct response_reader::implementation
 {
-    explicit implementation(reader_limits given) : limits(given) { restart(); }
+    implementation(reader_limits given, bool to_head) : limits(given), answers_head(to_head) { restart(); }
 
     void restart()
     {
@@ -265,6 +265,7 @@
         parser->eager(true);
         parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser->body_limit(limits.body_bytes);
+        parser->skip(answers_head);
     }
 
     read_progress read(std::string& bytes, bool head_only)
@@ -289,11 +290,14 @@
     }
 
     reader_limits limits;
+    bool answers_head;
     unsigned interim_responses = 0;
     boost::optional<http::response_parser<http::string_body>> parser;
 };
 
-response_reader::response_reader(reader_limits limits) : impl_(std::make_unique<implementation>(limits)) {}
+response_reader::response_reader(reader_limits limits, bool answers_head)
+    : impl_(std::make_unique<implementation>(limits, answers_head))
+{}
 
 response_reader::~response_reader() = default;
 
--- a/src/currantspar/gateway/server_connection.cpp
+++ b/src/currantspar/gateway/server_connection.cpp
@@ -60,9 +60,8 @@
             names_all_ = names_all_ && !request.id.empty();
         }
         written_ = false;
-        reader_.emplace(pool_.options_.response_limits);
-        head_delivered_ = false;
-        skipping_ = false;
+        is_head_ = request.is_head;
+        begin_response();
         skipped_responses_ = 0;
         in_.clear();
         write_owned(std::move(request.bytes));
@@ -185,12 +184,17 @@
                 fail("too many responses to other requests");
                 return;
             }
-            reader_.emplace(pool_.options_.response_limits);
-            head_delivered_ = false;
-            skipping_ = false;
+            begin_response();
         }
     }
 
+    void begin_response()
+    {
+        reader_.emplace(pool_.options_.response_limits, is_head_);
+        head_delivered_ = false;
+        skipping_ = false;
+    }
+
     /// Returns whether a head was read and delivered, and the request is still open.
     bool read_head()
     {
@@ -215,7 +219,7 @@
         if (most == unlimited_body_bytes) {
             reader_->allow_endless_body();
         }
-        if (reader_->content_length().value_or(0) > most) {
+        if (!is_head_ && reader_->content_length().value_or(0) > most) {
             fail("response body is too large");
         }
     }
@@ -279,6 +283,7 @@
     std::string in_;
     bool connected_ = false;
     bool written_ = false;
+    bool is_head_ = false; ///< the request's method is HEAD
     bool head_delivered_ = false;
     bool skipping_ = false;
     unsigned skipped_responses_ = 0;
