--- a/src/currantspar/io/http_client.cpp
+++ b/src/currantspar/io/http_client.cpp
@@ -68,7 +68,8 @@
     }
     // What follows a '#' isn't sent.
     if (!is_request_target(request.url) || request.url.find('#') != std::string::npos) {
-        return refuse("URL", request.url);
+        // The URL isn't quoted, because its query may hold a caller's secret.
+        return fail(error_kind::invalid, "URL can't be written");
     }
     return check_headers(request.headers);
 }
--- a/src/currantspar/io/http_transfer.cpp
+++ b/src/currantspar/io/http_transfer.cpp
@@ -285,7 +285,9 @@
     end.reason = !refusal_.empty() ? refusal_ : code == CURLE_OK ? "" : curl_easy_strerror(code);
     if (!refusal_.empty()) {
         log_event(log_level::warning, "answer_refused",
-                  {{"url", request_.url}, {"status", std::to_string(head_.status)}, {"reason", refusal_}});
+                  {{"url", request_.url.substr(0, request_.url.find('?'))},
+                   {"status", std::to_string(head_.status)},
+                   {"reason", refusal_}});
     }
     handler_->on_end(end);
 }
